--- /dev/null
+++ b/driftcleat/api/http.py
@@ -0,0 +1,84 @@
+"""The HTTP side of every interface we serve: bounded bodies, JSON errors, routes by table."""
+
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from driftcleat import wire
+from driftcleat.wire.users import MAX_BODY, ErrorView
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A status with a JSON body."""
+
+    status: int
+    body: bytes
+    retry_after_s: int | None = None
+
+    @classmethod
+    def error(cls, status: int, text: str, field: str | None = None, retry_after_s: int | None = None) -> "Answer":
+        """Return an error's answer."""
+        return cls(status, wire.encode(ErrorView(text, field)), retry_after_s)
+
+
+Handler = Callable[[str, str, bytes], Awaitable[Answer]]
+
+
+class BodyTooLarge(Exception):
+    """A request body above the limit."""
+
+
+async def _read(request: web.BaseRequest, most: int) -> bytes:
+    if request.content_length is not None and request.content_length > most:
+        raise BodyTooLarge
+    if not request.can_read_body:
+        return b""
+    parts: list[bytes] = []
+    size = 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > most:
+            raise BodyTooLarge
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def serve(address: str, handler: Handler, backlog: int, most_body: int = MAX_BODY) -> web.ServerRunner:
+    """Listen on HOST:PORT; every request goes to `handler(method, path, body)`."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            body = await _read(request, most_body)
+            answer = await handler(request.method, request.path, body)
+        except BodyTooLarge:
+            answer = Answer.error(413, f"the body is above {most_body} bytes", "body")
+        except (ConnectionError, TimeoutError):
+            answer = Answer.error(503, "the connection broke", retry_after_s=1)
+        except Exception:
+            log.exception("request %s %s failed", request.method, request.path)
+            answer = Answer.error(503, "internal error", retry_after_s=1)
+        headers = {}
+        if answer.retry_after_s is not None:
+            headers["Retry-After"] = str(answer.retry_after_s)
+        return web.Response(status=answer.status, body=answer.body, content_type="application/json",
+                            headers=headers)
+
+    runner = web.ServerRunner(web.Server(handle, access_log=None, keepalive_timeout=75.0))
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    try:
+        listener.bind((host, int(port)))
+    except OSError:
+        listener.close()
+        raise
+    await web.SockSite(runner, listener, backlog=backlog).start()
+    return runner
--- /dev/null
+++ b/driftcleat/api/users.py
@@ -0,0 +1,246 @@
+"""Users' requests: submissions, polls and cancellations, at any controller.
+
+The leader decides; others pass requests on. The store's records are the truth, so a poll that cannot
+reach the leader is answered from them.
+"""
+
+import asyncio
+import logging
+from collections import OrderedDict
+from typing import Any, Protocol
+
+from driftcleat import wire
+from driftcleat.peers.client import PeerClient, PeerError
+from driftcleat.settings import Platform, Tuning
+from driftcleat.store.client import StoreClient, StoreError
+from driftcleat.store.records import ENDED, JOBS, EndedRecord, load_head
+from driftcleat.term import Term, Ticket, never_fits
+from driftcleat.wire import peers as peer_messages
+from driftcleat.wire.users import BadField, JobView, is_job_id, parse_id, parse_object, parse_submission
+
+from .http import Answer
+
+log = logging.getLogger(__name__)
+
+FINAL = ("done", "cancelled")
+KEPT_FINALS = 5000
+
+
+class Leadership(Protocol):
+    """What the users' interface needs to know of the controller it runs in."""
+
+    term: Term | None
+
+    @property
+    def holds(self) -> bool: ...
+
+    @property
+    def leader(self) -> str | None: ...
+
+    def kick(self) -> None: ...
+
+
+class UserApi:
+    """Answers users."""
+
+    def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, peers: PeerClient,
+                 leadership: Leadership) -> None:
+        self.platform, self.tuning, self.store, self.peers, self.lead = platform, tuning, store, peers, leadership
+        self.retry_s = max(1, round(tuning.retry * platform.report_s))
+        self.finals: OrderedDict[str, JobView] = OrderedDict()
+        self.outstanding: set[asyncio.Future[JobView | None]] = set()
+
+    def unavailable(self, why: str) -> Answer:
+        """Return the answer to what cannot be taken now: at once, saying when to come back."""
+        return Answer.error(503, why, retry_after_s=self.retry_s)
+
+    async def handle(self, method: str, path: str, body: bytes, forwarded: bool = False) -> Answer | None:
+        """Answer a request under /v1; None if the path is not ours."""
+        if path == "/v1/jobs":
+            if method != "POST":
+                return Answer.error(405, "only POST is allowed here")
+            return await self._submit(path, body, forwarded)
+        if not path.startswith("/v1/jobs/"):
+            return None
+        job_id, slash, verb = path[len("/v1/jobs/"):].partition("/")
+        if slash and verb != "cancel":
+            return None
+        wanted = "POST" if slash else "GET"
+        if method != wanted:
+            return Answer.error(405, f"only {wanted} is allowed here")
+        if not is_job_id(job_id):
+            return Answer.error(404, "no such job")
+        if slash:
+            return await self._cancel(path, job_id, forwarded)
+        return await self._poll(path, job_id, forwarded)
+
+    def drop_outstanding(self) -> None:
+        """Give up on requests that wait for a batch: their users come back and find out."""
+        for future in self.outstanding:
+            if not future.done():
+                future.set_result(None)
+
+    # -- submissions --------------------------------------------------------------------------------------
+
+    async def _submit(self, path: str, body: bytes, forwarded: bool) -> Answer:
+        try:
+            raw = parse_object(body)
+            job_id = parse_id(raw)
+        except BadField as error:
+            return Answer.error(400, str(error), error.field)
+        if not self.lead.holds:
+            return await self._pass_on("POST", path, body, forwarded)
+        return await self._submit_here(job_id, raw)
+
+    async def _submit_here(self, job_id: str, raw: dict[str, Any]) -> Answer:
+        term = self.lead.term
+        if term is None:
+            return self.unavailable("no leader")
+        # A job accepted before is known whatever its repeat looks like, so it is looked up first.
+        view = term.lookup(job_id)
+        if view is None:
+            try:
+                view = await self._final(job_id)
+            except StoreError:
+                return self.unavailable("the state service does not answer")
+            view = view or term.lookup(job_id)
+        if not self._still(term):
+            return self.unavailable("leadership changed")
+        if view is not None:
+            return Answer(200, wire.encode(JobView(view.id, view.state)))
+        try:
+            spec = parse_submission(raw)
+        except BadField as error:
+            return Answer.error(400, str(error), error.field)
+        if not term.cluster.types:
+            return self.unavailable("the machine types are not known yet")
+        why = never_fits(spec, term.cluster.types, self.platform)
+        if why is not None:
+            return Answer.error(422, why)
+        if term.queue_full:
+            return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
+        view = await self._decide(term, Ticket(lambda view: None, spec, job_id), submission=True)
+        if view is None:
+            return self.unavailable("not decided")
+        return Answer(201, wire.encode(JobView(view.id, view.state)))
+
+    async def _decide(self, term: Term, ticket: Ticket, submission: bool) -> JobView | None:
+        """Wait until a request's batch is committed; None if that is given up."""
+        future: asyncio.Future[JobView | None] = asyncio.get_running_loop().create_future()
+        ticket.answer = lambda view: None if future.done() else future.set_result(view)
+        (term.submissions if submission else term.cancels).append(ticket)
+        self.outstanding.add(future)
+        self.lead.kick()
+        try:
+            return await asyncio.wait_for(future, self.platform.report_s)
+        except TimeoutError:
+            return None
+        finally:
+            self.outstanding.discard(future)
+
+    def _still(self, term: Term) -> bool:
+        return self.lead.holds and self.lead.term is term
+
+    # -- polls --------------------------------------------------------------------------------------------
+
+    async def _poll(self, path: str, job_id: str, forwarded: bool) -> Answer:
+        term = self.lead.term
+        view = self.finals.get(job_id)
+        if view is None and term is not None:
+            view = term.lookup(job_id)
+            if view is not None and view.state not in FINAL and not self.lead.holds:
+                view = None
+        if view is not None:
+            return self._found(view)
+        if not self.lead.holds and not forwarded and self.lead.leader not in (None, self.platform.label):
+            answer = await self._pass_on("GET", path, b"", forwarded)
+            if answer.status in (200, 404):
+                return answer
+        return await self._poll_store(job_id, term)
+
+    async def _poll_store(self, job_id: str, term: Term | None) -> Answer:
+        """Answer from the records: the head first, so that a job ending in between is still found."""
+        try:
+            if term is None or not self.lead.holds:
+                item = await self.store.get(JOBS + job_id)
+                if item is not None:
+                    job = load_head(item)
+                    state = "cancelled" if job.state.value == "cancelled" else (
+                        "running" if job.places else "pending")
+                    return self._found(JobView(job_id, state, job.done, len(job.places)))
+            view = await self._final(job_id)
+        except (StoreError, wire.WireError):
+            return self.unavailable("the state service does not answer")
+        if view is None and term is not None:
+            view = term.lookup(job_id)
+        if view is not None:
+            return self._found(view)
+        if term is not None and not self._still(term):
+            return self.unavailable("leadership changed")
+        return Answer.error(404, "no such job")
+
+    def _found(self, view: JobView) -> Answer:
+        if view.state in FINAL:
+            self.finals[view.id] = view
+            while len(self.finals) > KEPT_FINALS:
+                self.finals.popitem(last=False)
+        return Answer(200, wire.encode({"nameId": view.id, "bearing": view.state, "done": view.done or 0,
+                                        "running": view.running or 0}))
+
+    async def _final(self, job_id: str) -> JobView | None:
+        """Return the kept final state of a job, from memory or the store."""
+        view = self.finals.get(job_id)
+        if view is not None:
+            return view
+        item = await self.store.get(ENDED + job_id)
+        if item is None:
+            return None
+        record = wire.decode(bytes(item.value), EndedRecord)
+        return JobView(job_id, record.state, record.done, 0)
+
+    # -- cancellations ------------------------------------------------------------------------------------
+
+    async def _cancel(self, path: str, job_id: str, forwarded: bool) -> Answer:
+        final = self.finals.get(job_id)
+        if final is not None:
+            return Answer(200, wire.encode(JobView(job_id, final.state)))
+        if not self.lead.holds:
+            return await self._pass_on("POST", path, b"", forwarded)
+        term = self.lead.term
+        if term is None:
+            return self.unavailable("no leader")
+        view = term.lookup(job_id)
+        if view is None:
+            try:
+                view = await self._final(job_id)
+            except StoreError:
+                return self.unavailable("the state service does not answer")
+            view = view or term.lookup(job_id)
+            if not self._still(term):
+                return self.unavailable("leadership changed")
+            if view is None:
+                return Answer.error(404, "no such job")
+        if view.state not in FINAL:
+            if term.queue_full:
+                return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
+            view = await self._decide(term, Ticket(lambda view: None, None, job_id), submission=False)
+        if view is None or view.state not in FINAL:
+            return self.unavailable("not decided")
+        return Answer(200, wire.encode(JobView(job_id, view.state)))
+
+    # -- passing on ---------------------------------------------------------------------------------------
+
+    async def _pass_on(self, method: str, path: str, body: bytes, forwarded: bool) -> Answer:
+        leader = self.lead.leader
+        if forwarded or leader is None or leader == self.platform.label:
+            return self.unavailable("no leader")
+        message = peer_messages.Forward(method, path, body.decode("utf-8", "replace"))
+        timeout_s = self.platform.report_s * (0.4 if method == "GET" else 1.1)
+        try:
+            answer = await self.peers.send(leader, message, timeout_s)
+        except PeerError as error:
+            log.debug("leader %s: %s", leader, error)
+            return self.unavailable("the leader does not answer")
+        if not isinstance(answer, peer_messages.Forwarded):
+            return self.unavailable("the leader's answer is not one")
+        return Answer(answer.status, answer.body.encode(), answer.retry_after_s)
--- /dev/null
+++ b/driftcleat/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from .main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/driftcleat/controller.py
@@ -0,0 +1,408 @@
+"""One controller: puts the parts together and runs their loops. All decisions are made in `term`."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from driftcleat import wire
+from driftcleat.api import Answer, UserApi, serve
+from driftcleat.fleet.cloud import CloudClient
+from driftcleat.fleet.keeper import FleetKeeper
+from driftcleat.leadership import Election, Role
+from driftcleat.metrics import Metrics
+from driftcleat.model import Cluster
+from driftcleat.peers import PeerClient
+from driftcleat.settings import Platform, Tuning
+from driftcleat.store.client import Conflict, Malformed, StoreClient, StoreError, StoreLimits
+from driftcleat.store.records import (
+    BATCH,
+    CHUNKS,
+    JOBS,
+    LEADER,
+    RENTALS,
+    TYPES,
+    BatchMark,
+    EncodedBatch,
+    Layout,
+    RentalRecord,
+    TooLarge,
+    encode_batch,
+    load_jobs,
+)
+from driftcleat.term import OpenRental, Term
+from driftcleat.wire import peers as peer_messages
+from driftcleat.wire.cloud import MachineType
+from driftcleat.wire.workers import Orders, Redirect, Report
+from driftcleat.workers import WorkerClient
+
+log = logging.getLogger(__name__)
+
+
+class Deposed(Exception):
+    """The term has ended."""
+
+
+class Controller:
+    """One controller process."""
+
+    def __init__(self, platform: Platform, tuning: Tuning, rng: random.Random | None = None,
+                 clock: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time) -> None:
+        self.platform, self.tuning, self.clock, self.wall = platform, tuning, clock, wall
+        self.rng = rng if rng is not None else random.Random()
+        self.metrics = Metrics()
+        self.layout = Layout(platform.value_bytes, platform.txn_ops)
+        self.term: Term | None = None
+        self.mark_version = 0
+        self.batch_number = 0
+        self.work = asyncio.Event()
+        self.committed = asyncio.Event()
+        self.started_at = clock()
+        self.leader_ok_at = float("-inf")
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Serve for ever."""
+        platform = self.platform
+        connector = aiohttp.TCPConnector(limit=max(16, platform.fd_limit // 5), limit_per_host=24,
+                                         keepalive_timeout=platform.lease_s, use_dns_cache=False)
+        session = aiohttp.ClientSession(connector=connector, auto_decompress=False,
+                                        headers={"Content-Type": "application/json"},
+                                        skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"))
+        self.store = StoreClient(session, platform.state, StoreLimits(platform.state_rps, platform.write_rps,
+                                                                      platform.report_s * 0.5), self.clock)
+        self.cloud = CloudClient(session, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
+        self.peers = PeerClient(session, platform)
+        self.workers = WorkerClient(session, platform.report_s, max(8, platform.fd_limit // 25))
+        self.users = UserApi(platform, self.tuning, self.store, self.peers, self)
+        self.election = Election(platform, self.tuning, self.store, self.rng, self.clock, self._rebuild,
+                                 self._resigned, self._store_elsewhere)
+        self.keeper = FleetKeeper(self)
+        await serve(platform.back, self._handle_back, 128, 256 * 1024)
+        await serve(platform.bind, self._handle_front, 256)
+        log.info("controller %s listens on %s and %s", platform.label, platform.bind, platform.back)
+        loops: list[Callable[[], Awaitable[None]]] = [self.election.run, self._write_loop, self._scan_loop,
+                                                      self._direct_loop, *self.keeper.loops()]
+        await asyncio.gather(*(self._contain(loop) for loop in loops))
+
+    async def _contain(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop for ever; what it raises is logged, the process never ends itself."""
+        while True:
+            try:
+                await loop()
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                log.exception("loop %s failed, it goes on", getattr(loop, "__qualname__", loop))
+            await asyncio.sleep(self.platform.report_s / 10)
+
+    def spawn(self, work: Awaitable[None]) -> None:
+        """Run something on the side; its failure is logged."""
+        async def contained() -> None:
+            try:
+                await work
+            except Exception:
+                log.exception("side task failed")
+        task = asyncio.ensure_future(contained())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # -- what other parts ask -----------------------------------------------------------------------------
+
+    @property
+    def holds(self) -> bool:
+        """Whether this controller leads for certain."""
+        return self.term is not None and self.election.holds
+
+    @property
+    def leader(self) -> str | None:
+        """The leader's label as far as known."""
+        return self.election.leader
+
+    def kick(self) -> None:
+        """There may be something to decide."""
+        self.work.set()
+
+    # -- terms --------------------------------------------------------------------------------------------
+
+    async def _rebuild(self, token: int) -> None:
+        """Read all records; from now on the picture in memory is the truth's copy."""
+        heads, chunks, rentals, types, mark = await asyncio.gather(
+            self.store.read_all(JOBS), self.store.read_all(CHUNKS), self.store.read_all(RENTALS),
+            self.store.get(TYPES), self.store.get(BATCH))
+        jobs, orphans = load_jobs(heads, chunks)
+        known = wire.decode(bytes(types.value), tuple[MachineType, ...]) if types is not None else ()
+        cluster = Cluster(token, jobs, {kind.name: kind for kind in known}, self.clock())
+        term = Term(self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall)
+        term.garbage.extend(orphans)
+        for item in rentals:
+            name = item.key[len(RENTALS):]
+            term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
+        self.mark_version = mark.version if mark is not None else 0
+        self.batch_number = 0
+        self.term = term
+        self.keeper.reset(types is not None)
+        log.info("term %d: %d jobs, %d open rentals", token, len(jobs), len(term.open_rentals))
+        self.kick()
+
+    def _resigned(self) -> None:
+        self.term = None
+        self.users.drop_outstanding()
+        self._announce_commit()
+
+    async def _store_elsewhere(self) -> str:
+        """Ask the peers whether the store serves them: `served`, `refused` or `silent`."""
+        self.users.drop_outstanding()
+        views = await self.peers.views(self.election.ttl_s * 0.4)
+        if any(0 <= view.served_age_s < 0.5 for view in views):
+            return "served"
+        return "refused" if views else "silent"
+
+    # -- writing ------------------------------------------------------------------------------------------
+
+    async def _write_loop(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self.work.wait(), self.platform.report_s / 12)
+            except TimeoutError:
+                pass
+            self.work.clear()
+            term = self.term
+            if term is None or not self.holds or not term.has_work:
+                continue
+            started = self.clock()
+            batch = term.build()
+            self.metrics.build_ms.record(self.clock() - started)
+            if batch.empty:
+                for call in batch.after:
+                    call()
+                self._announce_commit()
+                continue
+            try:
+                self.batch_number += 1
+                encoded = encode_batch(batch, self.layout, term.cluster.token, self.batch_number, self.mark_version)
+            except TooLarge as error:
+                log.error("batch dropped: %s", error)
+                continue
+            try:
+                revision = await self._commit(term, encoded)
+            except Deposed:
+                continue
+            self.metrics.batch_ms.record(self.clock() - started)
+            self.mark_version = revision
+            term.commit(batch, revision, encoded.garbage)
+            self._announce_commit()
+            self.kick()
+
+    def _announce_commit(self) -> None:
+        self.committed.set()
+        self.committed = asyncio.Event()
+
+    async def _commit(self, term: Term, encoded: EncodedBatch) -> int:
+        """Have the store take a batch; resend or read back until its outcome is known."""
+        while True:
+            try:
+                return await self.store.txn_raw(encoded.body, encoded.changes)
+            except Conflict as conflict:
+                revision = await self._read_back(term, encoded.mark)
+                if revision is not None:
+                    return revision
+                log.warning("batch refused: %s", conflict)
+                self._end_term(term, "a batch was refused")
+                raise Deposed from None
+            except Malformed as error:
+                log.error("batch called malformed: %s", error)
+                self._end_term(term, "a batch was called malformed")
+                raise Deposed from None
+            except StoreError as error:
+                log.debug("batch: %s", error)
+            if self.term is not term:
+                raise Deposed
+            await asyncio.sleep(self.election.ttl_s * 0.06)
+
+    async def _read_back(self, term: Term, mark: BatchMark) -> int | None:
+        """Tell whether a batch whose repeat was refused had been carried out before."""
+        while self.term is term:
+            try:
+                item = await self.store.get(BATCH)
+                if item is not None and wire.decode(bytes(item.value), BatchMark) == mark:
+                    return item.version
+                return None
+            except StoreError as error:
+                log.debug("batch key: %s", error)
+                await asyncio.sleep(self.election.ttl_s * 0.06)
+        return None
+
+    def _end_term(self, term: Term, why: str) -> None:
+        if self.term is term:
+            self.election.ask_resign(why)
+
+    # -- workers ------------------------------------------------------------------------------------------
+
+    async def _beat(self, body: bytes) -> Answer:
+        """Answer a worker's report."""
+        if not self.election.answers_workers:
+            leader = self.leader if self.leader != self.platform.label else None
+            return Answer(421, wire.encode(Redirect(leader)))
+        try:
+            report = wire.decode(body, Report)
+        except wire.WireError as error:
+            self.metrics.bad_reports += 1
+            log.info("malformed report: %s", error)
+            return Answer.error(400, str(error))
+        token = self.election.token
+        if report.token > token:
+            self.election.ask_resign(f"a worker has seen token {report.token}")
+            return Answer(421, wire.encode(Redirect(None)))
+        term = self.term
+        if term is None:
+            return Answer(200, wire.encode(Orders(token, [])))
+        machine = term.cluster.observe(report, self.clock())
+        if machine is None:
+            self.metrics.stale_reports += 1
+            return Answer(200, wire.encode(Orders(token, [])))
+        self.keeper.heard_at = self.clock()
+        if term.cluster.news(machine) or term.has_work:
+            self.kick()
+            if term.cluster.news(machine):
+                await self._await_news(term, machine.name, report)
+        if self.term is not term or not self.election.answers_workers:
+            return Answer(421, wire.encode(Redirect(None)))
+        return Answer(200, wire.encode(Orders(token, term.cluster.orders(machine, report))))
+
+    async def _await_news(self, term: Term, name: str, report: Report) -> None:
+        """Let a report's exits be committed first: its answer can then forget them and start what follows."""
+        deadline = self.clock() + self.platform.report_s * self.tuning.answer
+        while self.holds and self.term is term:
+            machine = term.cluster.machines.get(name)
+            left = deadline - self.clock()
+            if machine is None or machine.report is not report or left <= 0:
+                return
+            if not term.cluster.news(machine) and not term.has_work:
+                return
+            try:
+                await asyncio.wait_for(self.committed.wait(), left)
+            except TimeoutError:
+                return
+
+    async def _direct_loop(self) -> None:
+        """Send stops straight to workers as soon as they are committed."""
+        while True:
+            await self.committed.wait()
+            term = self.term
+            if term is None:
+                await asyncio.sleep(self.platform.report_s / 10)
+                continue
+            while term.urgent:
+                self._send_stops(term, term.urgent.pop())
+
+    def _send_stops(self, term: Term, name: str) -> None:
+        machine = term.cluster.machines.get(name)
+        if machine is None or machine.report is None or not machine.addr:
+            return
+        signals = term.cluster.stops(machine)
+        if signals:
+            self.spawn(self._send(machine.addr, machine.report.session, term.cluster.token, signals))
+
+    async def _send(self, addr: str, session: int, token: int, signals: list) -> None:  # type: ignore[type-arg]
+        refusal = await self.workers.send(addr, token, session, signals)
+        if refusal is not None and refusal.token > self.election.token:
+            self.election.ask_resign(f"a worker has seen token {refusal.token}")
+
+    async def _scan_loop(self) -> None:
+        """Go through all machines again and again: resend stops, watch for silence."""
+        while True:
+            await asyncio.sleep(self.platform.report_s * self.tuning.scan)
+            term = self.term
+            if term is None or not self.election.answers_workers:
+                continue
+            for machine in list(term.cluster.machines.values()):
+                if any(place.stop is not None or machine_job_cancelled(term, key)
+                       for key, place in machine.tasks.items()):
+                    self._send_stops(term, machine.name)
+            self.kick()
+
+    async def raise_token(self, addr: str) -> None:
+        """Make a worker see our token, so that it leaves a leader before us."""
+        token = self.election.token
+        refusal = await self.workers.send(addr, token, 1, [])
+        if refusal is None:
+            return
+        if refusal.token > token:
+            self.election.ask_resign(f"a worker has seen token {refusal.token}")
+        elif refusal.session != 1:
+            await self.workers.send(addr, token, refusal.session, [])
+
+    # -- servers ------------------------------------------------------------------------------------------
+
+    async def _handle_front(self, method: str, path: str, body: bytes) -> Answer:
+        if path == "/agent/beat":
+            if method != "POST":
+                return Answer.error(405, "only POST is allowed here")
+            return await self._beat(body)
+        if path == "/ready":
+            if method != "GET":
+                return Answer.error(405, "only GET is allowed here")
+            return Answer(200, b'{"ready":true}') if self._ready() else self.users.unavailable("not ready")
+        started = self.clock()
+        answer = await self.users.handle(method, path, body)
+        self.metrics.user_ms.record(self.clock() - started)
+        return answer if answer is not None else Answer.error(404, "no such path")
+
+    def _ready(self) -> bool:
+        """Ready while a leader was known lately; short take-overs do not change it."""
+        now = self.clock()
+        if self.election.answers_workers or (self.leader is not None and self.leader != self.platform.label):
+            self.leader_ok_at = now
+        return now - self.leader_ok_at < self.platform.lease_s * 0.6
+
+    async def _handle_back(self, method: str, path: str, body: bytes) -> Answer:
+        if path == "/peer":
+            if method != "POST":
+                return Answer.error(405, "only POST is allowed here")
+            return await self._peer(body)
+        if path in ("/metrics", "/status"):
+            if method != "GET":
+                return Answer.error(405, "only GET is allowed here")
+            return Answer(200, wire.encode(self.metrics.status(self)))
+        return Answer.error(404, "no such path")
+
+    async def _peer(self, body: bytes) -> Answer:
+        try:
+            message: peer_messages.PeerMessage = wire.decode(body, peer_messages.PeerMessage)  # type: ignore[arg-type]
+        except wire.WireError as error:
+            self.metrics.bad_peer_messages += 1
+            return Answer.error(400, str(error))
+        if isinstance(message, peer_messages.Forward):
+            answer = await self.users.handle(message.method, message.path, message.body.encode(), forwarded=True)
+            if answer is None:
+                answer = Answer.error(404, "no such path")
+            return Answer(200, wire.encode(peer_messages.Forwarded(answer.status, answer.body.decode(),
+                                                                   answer.retry_after_s)))
+        if isinstance(message, peer_messages.Ask):
+            return Answer(200, wire.encode(await self._view()))
+        return Answer.error(400, "not a question")
+
+    async def _view(self) -> peer_messages.View:
+        """Return how we see the store, asked just now."""
+        try:
+            await asyncio.wait_for(self.store.get(LEADER), self.election.ttl_s * 0.3)
+        except (StoreError, TimeoutError):
+            pass
+        now = self.clock()
+        served, refused = self.store.served_at, self.store.refused_at
+        return peer_messages.View(self.platform.label, self.election.role.value, self.leader,
+                                  self.election.leader_token, now - served if served is not None else -1.0,
+                                  now - refused if refused is not None else -1.0)
+
+
+def machine_job_cancelled(term: Term, key: tuple[str, int]) -> bool:
+    """Whether a placed task belongs to a cancelled job."""
+    job = term.cluster.jobs.get(key[0])
+    return job is not None and job.state.value == "cancelled"
+
+
+__all__ = ["Controller", "Role"]
--- /dev/null
+++ b/driftcleat/fleet/cloud.py
@@ -0,0 +1,73 @@
+"""The cloud's client: pooled connections, a time-out on every call, its rate kept on our side."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+import aiohttp
+
+from driftcleat import wire
+from driftcleat.store.client import Bucket
+from driftcleat.wire import cloud as messages
+
+T = TypeVar("T")
+
+
+class CloudError(Exception):
+    """The cloud gave no usable answer; the request may still be carried out."""
+
+
+class NoCapacity(CloudError):
+    """None available of this type, zone and kind."""
+
+
+class CloudClient:
+    """Speaks to the cloud."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str, rps: float, timeout_s: float,
+                 clock: Callable[[], float]) -> None:
+        self.session, self.base, self.timeout_s, self.clock = session, f"http://{address}", timeout_s, clock
+        self.requests = Bucket(rps * 0.9, clock)
+
+    async def _call(self, method: str, path: str, body: bytes | None, kind: type[T]) -> T:
+        while (delay := self.requests.delay(1)) > 0:
+            await asyncio.sleep(delay)
+        self.requests.take(1)
+        try:
+            async with self.session.request(method, self.base + path, data=body,
+                                            timeout=aiohttp.ClientTimeout(total=self.timeout_s)) as response:
+                status, data = response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise CloudError(f"no answer: {error!r}") from None
+        if status == 503 and b"no capacity" in data:
+            raise NoCapacity(data.decode("utf-8", "replace"))
+        if status != 200:
+            raise CloudError(f"status {status}")
+        try:
+            return wire.decode(data, kind)
+        except wire.WireError as error:
+            raise CloudError(f"malformed answer: {error}") from None
+
+    async def types(self) -> tuple[messages.MachineType, ...]:
+        """Return the types on offer."""
+        return (await self._call("GET", "/machine_types", None, messages.TypesAnswer)).types
+
+    async def rent(self, request: messages.RentRequest) -> tuple[str, ...]:
+        """Rent machines; repeated under the same name it gives the same answer."""
+        return (await self._call("POST", "/rentals", wire.encode(request), messages.RentAnswer)).machines
+
+    async def give_back(self, names: list[str]) -> None:
+        """Return machines; once this returns they are gone with all that is on them."""
+        await self._call("POST", "/rentals/return", wire.encode(messages.ReturnRequest(names)), object)
+
+    async def machines(self) -> list[messages.Listed]:
+        """Return the whole machine list, as it was some time ago."""
+        out: list[messages.Listed] = []
+        after = ""
+        while True:
+            path = "/rentals?page=500" + (f"&from={after}" if after else "")
+            page = await self._call("GET", path, None, messages.ListAnswer)
+            out.extend(page.machines)
+            if not page.more or not page.machines:
+                return out
+            after = page.machines[-1].name
--- /dev/null
+++ b/driftcleat/fleet/keeper.py
@@ -0,0 +1,217 @@
+"""The leader's dealings with the cloud: types, list, rentals and returns, each in a loop of its own."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from driftcleat import wire
+from driftcleat.fleet.cloud import CloudError, NoCapacity
+from driftcleat.model import MachineState, change_machine
+from driftcleat.store.records import TYPES
+from driftcleat.term import OpenRental, Term
+from driftcleat.wire.cloud import Listed, RentRequest
+
+if TYPE_CHECKING:
+    from driftcleat.controller import Controller
+
+log = logging.getLogger(__name__)
+
+
+class FleetKeeper:
+    """Runs while we lead; remembers nothing that a new leader would need."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self.controller = controller
+        self.platform, self.tuning, self.clock = controller.platform, controller.tuning, controller.clock
+        self.types_at = float("-inf")
+        self.types_stored = False
+        self.listed_at = float("-inf")
+        self.heard_at = float("-inf")
+        self.returning: set[str] = set()
+        self.listed: set[str] = set()
+        self.missing: dict[str, float] = {}
+        self.greeted = False
+
+    def reset(self, types_stored: bool) -> None:
+        """A new term begins."""
+        self.types_at = self.listed_at = float("-inf")
+        self.types_stored = types_stored
+        self.heard_at = self.clock()
+        self.returning, self.listed, self.missing = set(), set(), {}
+        self.greeted = False
+
+    def loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops to run."""
+        return [self._types_loop, self._list_loop, self._size_loop, self._rent_loop, self._return_loop]
+
+    def _term(self) -> Term | None:
+        return self.controller.term if self.controller.holds else None
+
+    async def _types_loop(self) -> None:
+        while True:
+            term = self._term()
+            if term is not None and (not term.cluster.types or self.clock() - self.types_at > 20):
+                try:
+                    types = await self.controller.cloud.types()
+                    self.types_at = self.clock()
+                    if self.controller.term is term and types:
+                        self._take_types(term, {kind.name: kind for kind in types})
+                except CloudError as error:
+                    log.debug("types: %s", error)
+            await asyncio.sleep(self.platform.report_s / 4)
+
+    def _take_types(self, term: Term, types: dict) -> None:  # type: ignore[type-arg]
+        term.cluster.types.clear()
+        term.cluster.types.update(types)
+        for machine in term.cluster.machines.values():
+            if machine.type is not None:
+                machine.type = types.get(machine.type.name, machine.type)
+            elif machine.report is not None:
+                machine.type = types.get(machine.report.type)
+        if not self.types_stored and len(wire.encode(tuple(types.values()))) < self.platform.value_bytes:
+            self.types_stored = True
+            term.notes[TYPES] = tuple(types.values())
+        term.room_changed = True
+        self.controller.kick()
+
+    async def _list_loop(self) -> None:
+        pause = max(2.0 / self.platform.cloud_rps, self.platform.list_lag_s / 2)
+        while True:
+            term = self._term()
+            if term is not None and self.clock() - self.listed_at > pause:
+                try:
+                    machines = await self.controller.cloud.machines()
+                    self.listed_at = self.clock()
+                    if self.controller.term is term:
+                        self._take_list(term, machines)
+                except CloudError as error:
+                    log.debug("list: %s", error)
+            await asyncio.sleep(self.platform.report_s / 4)
+
+    def _take_list(self, term: Term, machines: list[Listed]) -> None:
+        now = self.clock()
+        names = set()
+        greet: list[str] = []
+        for entry in machines:
+            names.add(entry.name)
+            self.missing.pop(entry.name, None)
+            if entry.name in term.cluster.gone:
+                continue
+            machine = term.cluster.machines.get(entry.name)
+            if machine is None:
+                log.info("adopting machine %s from the list", entry.name)
+                machine = term.cluster.adopt(entry.name, entry.type, entry.zone, entry.spot, entry.addr, now)
+                machine.rented_at = now - entry.age_s
+            if not machine.addr:
+                machine.addr = entry.addr
+            if entry.state == "failed":
+                self._give_back(term, entry.name, "failed")
+            elif not self.greeted and machine.report is None and entry.addr and entry.state == "running":
+                greet.append(entry.addr)
+        if not self.greeted:
+            self.greeted = True
+            for addr in greet:
+                self.controller.spawn(self.controller.raise_token(addr))
+        for name in list(term.cluster.waiting):
+            # Tasks on a machine that neither reports nor is listed: only the cloud can prove them gone.
+            if now - term.cluster.started_at > self.platform.lease_s:
+                zone = next(iter(term.cluster.waiting[name].values())).zone
+                term.cluster.adopt(name, "", zone, False, "", now)
+        for machine in term.cluster.machines.values():
+            if machine.name in names or machine.state is not MachineState.BOOTING:
+                continue
+            since = self.missing.setdefault(machine.name, now)
+            # The list may be twice its lag late; what is missing for longer was lost before it came up.
+            if now - since > self.platform.list_lag_s * 3 + self.platform.report_s:
+                self._give_back(term, machine.name, "not listed")
+
+    async def _size_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self.platform.report_s / 4)
+            term = self._term()
+            if term is None or not term.cluster.types:
+                continue
+            now = self.clock()
+            for name in term.fenced():
+                machine = term.cluster.machines.get(name)
+                if machine is None:
+                    zone = next(iter(term.cluster.waiting[name].values())).zone if name in term.cluster.waiting \
+                        else ""
+                    term.cluster.adopt(name, "", zone, False, "", now)
+                self._give_back(term, name, "keeps a cancelled task")
+            if now < term.place_from:
+                continue
+            plan = term.plan_rentals(now)
+            for machine in term.surplus(plan, now):
+                self._give_back(term, machine.name, f"{machine.state.value}, surplus")
+            if plan.rentals:
+                log.info("renting %s", plan.rentals)
+                term.rent(plan)
+                self.controller.kick()
+            silent_s = now - self.heard_at
+            if term.cluster.machines and silent_s > self.platform.lease_s * self.tuning.deaf and any(
+                    machine.report is not None for machine in term.cluster.machines.values()):
+                self.heard_at = now
+                self.controller.election.ask_resign("no worker reports to us")
+
+    def _give_back(self, term: Term, name: str, why: str) -> None:
+        machine = term.cluster.machines.get(name)
+        if machine is None or machine.state in (MachineState.RETURNING, MachineState.GONE):
+            return
+        log.info("returning %s: %s", name, why)
+        change_machine(machine, MachineState.RETURNING)
+        self.returning.add(name)
+
+    async def _rent_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self.platform.report_s / 30)
+            term = self._term()
+            if term is None:
+                continue
+            for rental in list(term.open_rentals.values()):
+                if self._term() is not term:
+                    break
+                await self._rent(term, rental)
+
+    async def _rent(self, term: Term, rental: OpenRental) -> None:
+        record = rental.record
+        request = RentRequest(rental.name, record.type, record.zone, record.spot, record.count)
+        try:
+            machines = await self.controller.cloud.rent(request)
+        except NoCapacity:
+            machines = ()
+            term.note_refusal((record.type, record.zone, record.spot), self.clock())
+        except CloudError as error:
+            log.debug("rental %s: %s", rental.name, error)
+            await asyncio.sleep(self.platform.report_s / 6)
+            return
+        if self.controller.term is term:
+            if machines and len(machines) < record.count:
+                term.note_refusal((record.type, record.zone, record.spot), self.clock())
+            term.settle_rental(rental, machines, self.clock())
+            self.controller.kick()
+
+    async def _return_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self.platform.report_s / 15)
+            term = self._term()
+            if term is None or not self.returning:
+                continue
+            names = sorted(self.returning)[:100]
+            try:
+                await self.controller.cloud.give_back(names)
+            except CloudError as error:
+                log.debug("return: %s", error)
+                await asyncio.sleep(self.platform.report_s / 6)
+                continue
+            if self.controller.term is not term:
+                continue
+            for name in names:
+                self.returning.discard(name)
+                machine = term.cluster.machines.get(name)
+                if machine is not None:
+                    term.cluster.forget_machine(machine, self.clock())
+                    term.counters.returned += 1
+            term.room_changed = True
+            self.controller.kick()
--- /dev/null
+++ b/driftcleat/leadership/election.py
@@ -0,0 +1,282 @@
+"""The election's state machine: follower, campaigning, rebuilding, leading, unsure."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+
+import msgspec
+
+from driftcleat import wire
+from driftcleat.settings import Platform, Tuning
+from driftcleat.store.client import Conflict, NoLease, StoreClient, StoreError
+from driftcleat.store.records import LEADER
+from driftcleat.wire import state as messages
+
+from .lease import LeaseClock
+
+log = logging.getLogger(__name__)
+
+
+class Role(StrEnum):
+    """What this controller is in the election."""
+
+    FOLLOWER = "follower"
+    CAMPAIGNING = "campaigning"
+    REBUILDING = "rebuilding"
+    LEADING = "leading"
+    UNSURE = "unsure"
+
+
+_MOVES = {
+    (Role.FOLLOWER, Role.CAMPAIGNING),
+    (Role.CAMPAIGNING, Role.FOLLOWER),
+    (Role.CAMPAIGNING, Role.REBUILDING),
+    (Role.REBUILDING, Role.LEADING),
+    (Role.REBUILDING, Role.FOLLOWER),
+    (Role.LEADING, Role.UNSURE),
+    (Role.LEADING, Role.FOLLOWER),
+    (Role.UNSURE, Role.LEADING),
+    (Role.UNSURE, Role.FOLLOWER),
+}
+
+
+class LeaderKey(msgspec.Struct, array_like=True):
+    """The leader key's value: who holds it, and which of its lives."""
+
+    label: str
+    life: str
+
+
+class Election:
+    """Takes part in the election and keeps the lease while it holds the key."""
+
+    def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, rng: random.Random,
+                 clock: Callable[[], float], rebuild: Callable[[int], Awaitable[None]],
+                 resign: Callable[[], None], store_elsewhere: Callable[[], Awaitable[str]]) -> None:
+        self.platform, self.tuning, self.store, self.rng, self.clock = platform, tuning, store, rng, clock
+        self.rebuild, self.on_resign, self.store_elsewhere = rebuild, resign, store_elsewhere
+        self.role = Role.FOLLOWER
+        self.ttl_s = platform.lease_s * tuning.ttl
+        self.lease = LeaseClock(self.ttl_s, tuning.drift)
+        self.token = 0
+        self.leader: str | None = None
+        self.leader_seen_at = float("-inf")
+        self.leader_token = 0
+        self.life = f"{rng.getrandbits(64):016x}"
+        self.stand_back_until = float("-inf")
+        self._resign_wanted: str | None = None
+        self._revision = 0
+        self._unsure_since = 0.0
+        self._wake = asyncio.Event()
+
+    def change(self, to: Role) -> None:
+        """Move to another role; the only place that does."""
+        if to is self.role:
+            return
+        if (self.role, to) not in _MOVES:
+            raise RuntimeError(f"{self.role.value} -> {to.value}")
+        log.info("role %s -> %s (token %d)", self.role.value, to.value, self.token)
+        self.role = to
+
+    @property
+    def holds(self) -> bool:
+        """Whether decisions may be made and current answers given."""
+        return self.role is Role.LEADING and self.lease.valid(self.clock())
+
+    @property
+    def answers_workers(self) -> bool:
+        """Whether reports are answered with our token."""
+        return self.role in (Role.REBUILDING, Role.LEADING, Role.UNSURE)
+
+    def ask_resign(self, why: str) -> None:
+        """Step down as soon as possible."""
+        if self.answers_workers:
+            self._resign_wanted = why
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Take part for ever."""
+        await self._end_old_life()
+        while True:
+            try:
+                if self.role is Role.FOLLOWER:
+                    await self._follow()
+                elif self.role in (Role.LEADING, Role.UNSURE):
+                    await self._keep()
+                else:
+                    self._step_down("left in between")
+            except asyncio.CancelledError:
+                raise
+            except StoreError as error:
+                log.debug("election: %s", error)
+                if self.role in (Role.CAMPAIGNING, Role.REBUILDING):
+                    lease = self.lease.lease
+                    self._step_down(str(error))
+                    if lease is not None:
+                        await self._drop_lease(lease)
+                await asyncio.sleep(self.ttl_s * self.rng.uniform(0.05, 0.12))
+            except Exception:
+                log.exception("election: unexpected")
+                if self.role is not Role.FOLLOWER:
+                    self._step_down("unexpected error")
+                await asyncio.sleep(self.ttl_s * 0.2)
+
+    async def _end_old_life(self) -> None:
+        """A holder that was restarted ends its old lease, so that nobody waits for it to run out."""
+        for _ in range(3):
+            try:
+                item = await self.store.get(LEADER)
+                if item is not None and item.lease is not None and self._key(item).label == self.platform.label:
+                    log.info("ending the lease of an earlier life")
+                    await self.store.end(item.lease)
+                return
+            except (StoreError, wire.WireError) as error:
+                log.debug("old lease: %s", error)
+                await asyncio.sleep(self.ttl_s * 0.1)
+
+    @staticmethod
+    def _key(item: messages.Item) -> LeaderKey:
+        return wire.decode(bytes(item.value), LeaderKey)
+
+    def _note_leader(self, item: messages.Item) -> None:
+        label = self._key(item).label
+        if label != self.leader:
+            log.info("leader is %s (token %d)", label, item.version)
+        self.leader, self.leader_token = label, item.version
+        self.leader_seen_at = self.clock()
+
+    async def _follow(self) -> None:
+        page = await self.store.page(LEADER, None, 1)
+        self._revision = page.revision
+        if page.items:
+            self._note_leader(page.items[0])
+            answer = await self.store.watch(LEADER, self._revision, self.ttl_s)
+            if answer is None or not answer.events:
+                return
+            log.debug("leader key changed")
+            return
+        self.leader = None
+        now = self.clock()
+        if now < self.stand_back_until:
+            await asyncio.sleep(min(self.ttl_s * 0.25, self.stand_back_until - now))
+            return
+        await asyncio.sleep(self.rng.uniform(0.0, 0.02) * self.ttl_s)
+        await self._campaign()
+
+    async def _campaign(self) -> None:
+        self.change(Role.CAMPAIGNING)
+        sent_at = self.clock()
+        lease = await self.store.grant(self.ttl_s)
+        self.lease.granted(lease, sent_at)
+        value = LeaderKey(self.platform.label, self.life)
+        txn = messages.Txn([messages.Condition(LEADER, 0)], [messages.Put(LEADER, value, lease)])
+        try:
+            token = await self.store.txn(txn)
+        except Conflict:
+            self._step_down("another was first")
+            await self._drop_lease(lease)
+            return
+        except StoreError:
+            # Nobody knows whether it was carried out: the key says so.
+            item = await self.store.get(LEADER)
+            if item is None or item.lease != lease:
+                self._step_down("outcome unknown")
+                await self._drop_lease(lease)
+                return
+            token = item.version
+        self.token = self.leader_token = token
+        self.leader = self.platform.label
+        self._resign_wanted = None
+        self.change(Role.REBUILDING)
+        keeper = asyncio.ensure_future(self._renew_while_rebuilding())
+        try:
+            await self.rebuild(token)
+        finally:
+            keeper.cancel()
+        if not self.lease.valid(self.clock()):
+            self._step_down("the lease ran out while rebuilding")
+            return
+        self.change(Role.LEADING)
+
+    async def _drop_lease(self, lease: int) -> None:
+        try:
+            await self.store.end(lease)
+        except StoreError as error:
+            log.debug("lease %d not ended: %s", lease, error)
+
+    async def _renew_while_rebuilding(self) -> None:
+        while True:
+            await asyncio.sleep(self.ttl_s * self.tuning.renew)
+            try:
+                await self._renew()
+            except StoreError as error:
+                log.debug("renewal: %s", error)
+
+    async def _renew(self) -> None:
+        lease = self.lease.lease
+        if lease is None:
+            raise NoLease("none held")
+        sent_at = self.clock()
+        await self.store.renew(lease, self.ttl_s * 0.5)
+        self.lease.renewed(sent_at)
+
+    async def _keep(self) -> None:
+        """One renewal, then a pause."""
+        if self._resign_wanted is not None:
+            lease = self.lease.lease
+            self.stand_back_until = self.clock() + self.platform.lease_s
+            self._step_down(self._resign_wanted)
+            if lease is not None:
+                await self._drop_lease(lease)
+            return
+        pause = self.ttl_s * self.tuning.renew
+        try:
+            await self._renew()
+            if self.role is Role.UNSURE:
+                self.change(Role.LEADING)
+        except NoLease:
+            self._step_down("the lease has ended")
+            return
+        except StoreError as error:
+            log.debug("renewal: %s", error)
+            pause = self.ttl_s * 0.1
+            if self.role is Role.LEADING and self.lease.left(self.clock()) < self.ttl_s * 0.4:
+                self.change(Role.UNSURE)
+                self._unsure_since = self.clock()
+        if self.role is Role.UNSURE:
+            await self._doubt()
+        try:
+            self._wake.clear()
+            await asyncio.wait_for(self._wake.wait(), pause)
+        except TimeoutError:
+            pass
+
+    async def _doubt(self) -> None:
+        """The store does not serve us: if it serves a peer, that one shall lead."""
+        seen = await self.store_elsewhere()
+        unsure_s = self.clock() - self._unsure_since
+        bound = self.platform.lease_s * self.tuning.hold
+        if seen == "served":
+            try:
+                # The outage may have ended while the peers were asked.
+                await self._renew()
+                self.change(Role.LEADING)
+            except StoreError:
+                self.stand_back_until = self.clock() + self.platform.lease_s
+                self._step_down("the store serves a peer but not us")
+        elif unsure_s > (bound if seen == "refused" else bound / 2):
+            self._step_down("unsure for too long")
+
+    def _step_down(self, why: str) -> None:
+        if self.role is not Role.FOLLOWER:
+            log.info("stepping down: %s", why)
+            leading = self.answers_workers
+            self.change(Role.FOLLOWER)
+            self.lease.lost()
+            if self.leader == self.platform.label:
+                self.leader = None
+            self._resign_wanted = None
+            if leading:
+                self.on_resign()
--- /dev/null
+++ b/driftcleat/leadership/lease.py
@@ -0,0 +1,32 @@
+"""How long our lease certainly holds, on our own steady clock."""
+
+
+class LeaseClock:
+    """Counts from before the renewal was sent, less what clocks may drift apart."""
+
+    def __init__(self, ttl_s: float, drift: float) -> None:
+        self.ttl_s, self.drift = ttl_s, drift
+        self.lease: int | None = None
+        self._valid_until = float("-inf")
+
+    def granted(self, lease: int, sent_at: float) -> None:
+        """A lease was granted by a request sent at that time."""
+        self.lease = lease
+        self._valid_until = sent_at + self.ttl_s * (1 - self.drift)
+
+    def renewed(self, sent_at: float) -> None:
+        """The lease was renewed by a request sent at that time."""
+        self._valid_until = max(self._valid_until, sent_at + self.ttl_s * (1 - self.drift))
+
+    def lost(self) -> None:
+        """The lease has ended."""
+        self.lease = None
+        self._valid_until = float("-inf")
+
+    def valid(self, now: float) -> bool:
+        """Whether no other controller can hold the leader key."""
+        return self.lease is not None and now < self._valid_until
+
+    def left(self, now: float) -> float:
+        """Return the seconds for which the lease certainly holds."""
+        return max(0.0, self._valid_until - now) if self.lease is not None else 0.0
--- /dev/null
+++ b/driftcleat/metrics.py
@@ -0,0 +1,64 @@
+"""Counters and histograms of one controller, as served on `back`."""
+
+from typing import TYPE_CHECKING, Any
+
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from driftcleat.controller import Controller
+
+
+class Timing:
+    """A histogram of durations, in microseconds up to a minute."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, 60_000_000, 2)
+
+    def record(self, seconds: float) -> None:
+        """Count one duration."""
+        self._histogram.record_value(max(1, min(60_000_000, round(seconds * 1e6))))
+
+    def summary(self) -> dict[str, float]:
+        """Return count and percentiles in milliseconds."""
+        out: dict[str, float] = {"count": self._histogram.get_total_count()}
+        for share in (50, 95, 99, 100):
+            out[f"p{share}_ms"] = self._histogram.get_value_at_percentile(share) / 1000
+        return out
+
+
+class Metrics:
+    """What this process has counted."""
+
+    def __init__(self) -> None:
+        self.build_ms, self.batch_ms, self.user_ms = Timing(), Timing(), Timing()
+        self.bad_reports = self.stale_reports = self.bad_peer_messages = 0
+
+    def status(self, controller: "Controller") -> dict[str, Any]:
+        """Return the state of a controller for operators."""
+        election, term = controller.election, controller.term
+        out: dict[str, Any] = {
+            "controller": controller.platform.label, "role": election.role.value, "leader": election.leader,
+            "term": election.leader_token, "holds": controller.holds,
+            "lease_left_s": round(election.lease.left(controller.clock()), 3),
+            "build": self.build_ms.summary(), "batch": self.batch_ms.summary(), "users": self.user_ms.summary(),
+            "bad_reports": self.bad_reports, "stale_reports": self.stale_reports,
+            "bad_peer_messages": self.bad_peer_messages,
+        }
+        if term is not None:
+            machines: dict[str, int] = {}
+            for machine in term.cluster.machines.values():
+                machines[machine.state.value] = machines.get(machine.state.value, 0) + 1
+            classes: dict[str, dict[str, int]] = {}
+            for job in term.cluster.jobs.values():
+                row = classes.setdefault(job.spec.job_class, {"jobs": 0, "queued": 0, "placed": 0})
+                row["jobs"] += 1
+                row["queued"] += job.queued
+                row["placed"] += len(job.places)
+            counters = term.counters
+            out |= {"machines": machines, "classes": classes,
+                    "waiting_submissions": len(term.submissions), "waiting_cancellations": len(term.cancels),
+                    "open_rentals": len(term.open_rentals), "batches": counters.batches,
+                    "rounds": counters.rounds, "rounds_cut": counters.rounds_cut, "placed": counters.placed,
+                    "preempted": counters.preempted, "rented": counters.rented, "returned": counters.returned,
+                    "exits": counters.failures}
+        return out
--- /dev/null
+++ b/driftcleat/model/cluster.py
@@ -0,0 +1,345 @@
+"""The leader's picture of one term: committed jobs, machines and their reports, and what follows from them.
+
+Nothing here does I/O. A report is taken in by `observe`, what it proves is put into a batch by
+`reconcile`, the batch is made visible by `commit`, and `orders` says what a worker is told.
+"""
+
+import logging
+from collections.abc import Callable
+
+from driftcleat.wire import workers as wire_workers
+from driftcleat.wire.cloud import MachineType
+from driftcleat.wire.users import JobView, Submission
+from driftcleat.wire.workers import Report, Signal
+
+from .batch import Batch
+from .jobs import Job, JobState, Place, TaskState
+from .machines import Machine, MachineState, change_machine
+
+log = logging.getLogger(__name__)
+
+AttemptKey = tuple[str, int, int]
+
+
+class Usage:
+    """What a team's tasks may be using, by possible presence."""
+
+    __slots__ = ("cpus", "gpus", "tasks")
+
+    def __init__(self) -> None:
+        self.cpus = self.gpus = 0.0
+        self.tasks = 0
+
+    def add(self, spec: Submission, sign: int) -> None:
+        """Count a task in or out."""
+        self.tasks += sign
+        self.cpus += sign * spec.cpus
+        self.gpus += sign * spec.gpus
+        if self.tasks == 0:
+            self.cpus = self.gpus = 0.0
+
+
+class Cluster:
+    """One term's picture."""
+
+    def __init__(self, token: int, jobs: dict[str, Job], types: dict[str, MachineType], now: float) -> None:
+        self.token = token
+        self.jobs = jobs
+        self.types = types
+        self.machines: dict[str, Machine] = {}
+        self.gone: dict[str, float] = {}
+        self.usage: dict[str, Usage] = {}
+        self.dirty: set[str] = set()
+        self.running: dict[str, int] = {}
+        # Attempts on machines that no record knows: the task must not start elsewhere while one is there.
+        self.ghosts: dict[tuple[str, int], str] = {}
+        self.retry_at: dict[str, float] = {}
+        self.failures: dict[str, int] = {}
+        self.rejected = 0
+        # Tasks of machines that have not reported in this term, by machine name.
+        self.waiting: dict[str, dict[tuple[str, int], Place]] = {}
+        self.on_exit: Callable[[Machine, Job, str], None] = lambda machine, job, why: None
+        for job in jobs.values():
+            usage = self.usage.setdefault(job.spec.team, Usage())
+            for index, place in job.places.items():
+                usage.add(job.spec, 1)
+                self.waiting.setdefault(place.machine, {})[(job.id, index)] = place
+        self.started_at = now
+
+    # -- machines -----------------------------------------------------------------------------------------
+
+    def adopt(self, name: str, type_name: str, zone: str, spot: bool, addr: str, now: float) -> Machine:
+        """Return the machine of that name, known from now on."""
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = Machine(name, self.types.get(type_name), zone, spot, addr, now)
+            self.machines[name] = machine
+            for key, place in self.waiting.pop(name, {}).items():
+                job = self.jobs.get(key[0])
+                if job is not None and job.places.get(key[1]) == place:
+                    machine.add(key, place, job.spec)
+        if machine.type is None:
+            machine.type = self.types.get(type_name)
+        if addr:
+            machine.addr = addr
+        return machine
+
+    def observe(self, report: Report, now: float) -> Machine | None:
+        """Take in a report; None if it is stale or from a machine that is proven gone."""
+        if report.machine in self.gone:
+            return None
+        known = self.machines.get(report.machine)
+        if known is not None and known.report is not None:
+            last = (known.report.session, known.report.seq)
+            if (report.session, report.seq) <= last:
+                # A report held back by a cut: its task list is as old as itself.
+                self.rejected += 1
+                return None
+        machine = self.adopt(report.machine, report.type, report.zone, report.spot, report.addr, now)
+        if machine.state is MachineState.BOOTING:
+            change_machine(machine, MachineState.UP)
+            machine.ready_at = machine.idle_since = now
+        previous = machine.report
+        machine.report, machine.heard_at = report, now
+        # Only a worker that has seen our token drops the answers of the leader before us: until then a
+        # start of that leader may still reach it, and its report proves nothing about absent tasks.
+        machine.trusted = report.token == self.token
+        self._read_tasks(machine, report, previous)
+        return machine
+
+    def _read_tasks(self, machine: Machine, report: Report, previous: Report | None) -> None:
+        reported: dict[AttemptKey, str] = {}
+        changed = previous is None or previous.tasks != report.tasks or previous.session != report.session
+        if not changed:
+            newly_trusted = previous is None or previous.token != report.token
+            if machine.trusted and (newly_trusted or self._open_question(machine)):
+                self.dirty.add(machine.name)
+            return
+        if previous is not None and previous.session != report.session:
+            machine.phases.clear()
+        live: set[tuple[str, int]] = set()
+        for task in report.tasks:
+            split = wire_workers.split_task(task.task)
+            if split is None:
+                continue
+            reported[(split[0], split[1], task.attempt)] = task.state
+            if task.state != wire_workers.EXITED:
+                live.add(split)
+                place = machine.tasks.get(split)
+                if place is None or place.attempt != task.attempt:
+                    self.ghosts[split] = machine.name
+                else:
+                    machine.phases[split] = task.state
+        machine.reported = reported
+        for key in [key for key, name in self.ghosts.items() if name == machine.name and key not in live]:
+            del self.ghosts[key]
+        self.dirty.add(machine.name)
+
+    def _open_question(self, machine: Machine) -> bool:
+        """Whether the newest report, although it lists the same tasks, may prove something."""
+        return any((key[0], key[1], place.attempt) not in machine.reported
+                   for key, place in machine.tasks.items()) or self.news(machine)
+
+    def forget_machine(self, machine: Machine, now: float) -> None:
+        """The cloud has confirmed that a machine and all on it is gone."""
+        if machine.state is not MachineState.RETURNING:
+            change_machine(machine, MachineState.RETURNING)
+        change_machine(machine, MachineState.GONE)
+        self.gone[machine.name] = now
+        for key in [key for key, name in self.ghosts.items() if name == machine.name]:
+            del self.ghosts[key]
+        self.dirty.add(machine.name)
+
+    # -- what reports prove -------------------------------------------------------------------------------
+
+    def reconcile(self, machine: Machine, batch: Batch, now: float) -> bool:
+        """Put into the batch what the newest report proves; False if the batch is too full to go on."""
+        if machine.state is MachineState.GONE:
+            return self._all_lost(machine, batch)
+        report = machine.report
+        if report is None or not machine.trusted:
+            return True
+        order = (report.session, report.seq)
+        exits = {(task.task, task.attempt): task for task in report.tasks if task.state == wire_workers.EXITED}
+        for key, place in list(machine.tasks.items()):
+            job = batch.get(key[0])
+            if job is None or job.places.get(key[1]) is None:
+                continue
+            attempt = (key[0], key[1], place.attempt)
+            state = machine.reported.get(attempt)
+            if state is None:
+                if not self._absent(machine, job, key, place, order, batch):
+                    return False
+                continue
+            machine.seen.add(attempt)
+            if state != wire_workers.EXITED:
+                continue
+            if not batch.room(job):
+                return False
+            exited = exits[(wire_workers.task_name(*key), place.attempt)]
+            self._exited(machine, job, key[1], exited.why or wire_workers.ERROR, batch, now)
+        return True
+
+    def _all_lost(self, machine: Machine, batch: Batch) -> bool:
+        for key in list(machine.tasks):
+            job = batch.get(key[0])
+            if job is None or job.places.get(key[1]) is None:
+                continue
+            if not batch.room(job):
+                return False
+            self._leave(batch, job, key[1])
+        return True
+
+    def _absent(self, machine: Machine, job: Job, key: tuple[str, int], place: Place, order: tuple[int, int],
+                batch: Batch) -> bool:
+        """A task its machine does not list: proven off only if no start of it can still arrive."""
+        attempt = (key[0], key[1], place.attempt)
+        offered = machine.offered.get(attempt)
+        if offered is not None and offered >= order:
+            return True
+        unwanted = job.state is not JobState.ACTIVE or job.places[key[1]].stop is not None
+        draining = machine.state is not MachineState.UP
+        # A gang cannot take a lost task back under the same attempt once it has started.
+        lost = job.is_gang and attempt in machine.seen
+        if not (unwanted or draining or lost):
+            return True
+        if not batch.room(job):
+            return False
+        self._leave(batch, job, key[1])
+        return True
+
+    def _exited(self, machine: Machine, job: Job, index: int, why: str, batch: Batch, now: float) -> None:
+        if why == wire_workers.DONE:
+            batch.move(job.id, index, TaskState.DONE)
+            batch.settle(job.id)
+            self.failures.pop(job.id, None)
+            machine.failed_jobs.clear()
+        else:
+            self._leave(batch, job, index)
+            if why in (wire_workers.ERROR, wire_workers.UNKNOWN, wire_workers.BUSY):
+                self._count_failure(machine, job, now, why == wire_workers.ERROR)
+            elif why == wire_workers.NO_ROOM:
+                # Our sums and the worker's differ: let it report again before it gets more.
+                machine.full_until = max(machine.full_until, now + 2.0)
+        self.on_exit(machine, job, why)
+
+    def _count_failure(self, machine: Machine, job: Job, now: float, blame: bool) -> None:
+        count = self.failures.get(job.id, 0) + 1
+        self.failures[job.id] = count
+        # A job with a mistake fails everywhere: it must not circle through all machines at full speed.
+        self.retry_at[job.id] = now + min(60.0, 0.5 * 2 ** min(count, 10))
+        if blame:
+            machine.failed_jobs.add(job.id)
+
+    def _leave(self, batch: Batch, job: Job, index: int) -> None:
+        """A task is proven off its machine without being done; the rest of its gang must go too."""
+        batch.move(job.id, index, TaskState.QUEUED)
+        fresh = batch.jobs[job.id]
+        if fresh.is_gang and fresh.state is JobState.ACTIVE:
+            for other in list(fresh.places):
+                batch.stop(job.id, other, 0.0)
+        batch.settle(job.id)
+
+    def news(self, machine: Machine) -> bool:
+        """Whether the machine's newest report has exits that are not committed yet."""
+        return any(state == wire_workers.EXITED and key[:2] in machine.tasks
+                   and machine.tasks[key[:2]].attempt == key[2] for key, state in machine.reported.items())
+
+    # -- commit -------------------------------------------------------------------------------------------
+
+    def commit(self, batch: Batch, revision: int, now: float) -> None:
+        """Make a batch that the store has taken visible."""
+        for job_id in batch.heads:
+            job = batch.jobs[job_id]
+            job.version = revision
+            for chunk in batch.chunks.get(job_id, ()):
+                job.chunk_versions[chunk] = revision
+            self.jobs[job_id] = job
+        for job_id, index, old, new in batch.moves:
+            job = batch.jobs[job_id]
+            usage = self.usage.setdefault(job.spec.team, Usage())
+            if old is None:
+                usage.add(job.spec, 1)
+            if new is None:
+                usage.add(job.spec, -1)
+            place = new or old
+            if place is None:
+                continue
+            machine = self.machines.get(place.machine)
+            key = (job_id, index)
+            if machine is None:
+                waiting = self.waiting.setdefault(place.machine, {})
+                if new is None:
+                    waiting.pop(key, None)
+                else:
+                    waiting[key] = new
+            elif new is None:
+                machine.drop(key, job.spec, now)
+            else:
+                machine.add(key, new, job.spec)
+        for job_id in batch.heads:
+            if batch.jobs[job_id].state in (JobState.DONE, JobState.GONE):
+                del self.jobs[job_id]
+                self.retry_at.pop(job_id, None)
+                self.failures.pop(job_id, None)
+        for name in {place.machine for _, _, old, new in batch.moves for place in (old, new) if place}:
+            machine = self.machines.get(name)
+            if machine is not None and machine.state is MachineState.GONE and not machine.tasks:
+                del self.machines[name]
+
+    # -- what workers are told ----------------------------------------------------------------------------
+
+    def orders(self, machine: Machine, report: Report) -> list[Signal]:
+        """Return the commands that answer a machine's newest report; starts are noted as offered."""
+        if machine.report is not report:
+            return []
+        signals: list[Signal] = []
+        for task in report.tasks:
+            split = wire_workers.split_task(task.task)
+            place = machine.tasks.get(split) if split is not None else None
+            expected = place is not None and place.attempt == task.attempt
+            if task.state == wire_workers.EXITED:
+                # An exit is forgotten only once it is committed: its place is gone from the records then.
+                if not expected:
+                    signals.append(Signal(wire_workers.FORGET, task.task, task.attempt))
+            elif not expected:
+                signals.append(Signal(wire_workers.STOP, task.task, task.attempt, 0.0))
+        signals.extend(self.stops(machine))
+        if machine.state is not MachineState.UP:
+            return signals
+        for key, place in machine.tasks.items():
+            job = self.jobs.get(key[0])
+            attempt = (key[0], key[1], place.attempt)
+            if job is None or job.state is not JobState.ACTIVE or place.stop is not None:
+                continue
+            if attempt in machine.reported or (job.is_gang and attempt in machine.seen):
+                continue
+            machine.offered[attempt] = (report.session, report.seq)
+            signals.append(Signal(wire_workers.START, wire_workers.task_name(*key), place.attempt))
+        return signals
+
+    def stops(self, machine: Machine) -> list[Signal]:
+        """Return the stops that hold for a machine's tasks."""
+        signals = []
+        for key, place in machine.tasks.items():
+            job = self.jobs.get(key[0])
+            if job is None:
+                continue
+            grace = 0.0 if job.state is not JobState.ACTIVE else place.stop
+            if grace is not None and machine.phases.get(key) != wire_workers.EXITED:
+                signals.append(Signal(wire_workers.STOP, wire_workers.task_name(*key), place.attempt, grace))
+        return signals
+
+    # -- what users are told ------------------------------------------------------------------------------
+
+    def view(self, job: Job) -> JobView:
+        """Return a job's state as its user sees it."""
+        if job.state is not JobState.ACTIVE:
+            state = JobState.DONE if job.state is JobState.DONE else JobState.CANCELLED
+            return JobView(job.id, state.value, job.done, 0)
+        running = 0
+        for index, place in job.places.items():
+            machine = self.machines.get(place.machine)
+            if machine is not None and machine.phases.get((job.id, index)) == wire_workers.RUNNING:
+                running += 1
+        return JobView(job.id, "running" if running else "pending", job.done, running)
--- /dev/null
+++ b/driftcleat/peers/client.py
@@ -0,0 +1,48 @@
+"""The client side between controllers, over each other's `back` address."""
+
+import asyncio
+
+import aiohttp
+
+from driftcleat import wire
+from driftcleat.settings import Platform
+from driftcleat.wire import peers as messages
+
+PATH = "/peer"
+
+
+class PeerError(Exception):
+    """A controller that gave no usable answer; what was asked may still be carried out."""
+
+
+class PeerClient:
+    """Speaks to the other controllers."""
+
+    def __init__(self, session: aiohttp.ClientSession, platform: Platform) -> None:
+        self.session = session
+        self.label = platform.label
+        self.addresses = {peer.label: peer.address for peer in platform.peers}
+
+    async def send(self, label: str, message: messages.PeerMessage, timeout_s: float) -> messages.PeerMessage:
+        """Send one message; return the answer."""
+        address = self.addresses.get(label)
+        if address is None:
+            raise PeerError(f"unknown controller {label}")
+        try:
+            async with self.session.post(f"http://{address}{PATH}", data=wire.encode(message),
+                                         timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+                data = await response.read()
+                if response.status != 200:
+                    raise PeerError(f"status {response.status}")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PeerError(f"no answer: {error!r}") from None
+        try:
+            return wire.decode(data, messages.PeerMessage)  # type: ignore[arg-type]
+        except wire.WireError as error:
+            raise PeerError(str(error)) from None
+
+    async def views(self, timeout_s: float) -> list[messages.View]:
+        """Ask every other controller how it sees the world; those that answer are returned."""
+        answers = await asyncio.gather(*(self.send(label, messages.Ask(self.label), timeout_s)
+                                         for label in self.addresses), return_exceptions=True)
+        return [answer for answer in answers if isinstance(answer, messages.View)]
--- /dev/null
+++ b/driftcleat/placement/rooms.py
@@ -0,0 +1,63 @@
+"""Rooms: what is free on a machine, and whether a task may and can go there."""
+
+from collections.abc import Container
+from dataclasses import dataclass, field
+
+from driftcleat.wire.users import Submission
+
+# Sums of decimal amounts differ in their last digits; no real request is this small.
+SLACK = 1e-6
+
+
+@dataclass(slots=True)
+class Room:
+    """Free amounts of one machine."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    images: Container[str] = field(default_factory=frozenset)
+    avoided_by: Container[str] = field(default_factory=frozenset)
+    busy: bool = False
+
+    def take(self, spec: Submission, tasks: int = 1) -> None:
+        """Use up what tasks need."""
+        self.cpus -= spec.cpus * tasks
+        self.gpus -= spec.gpus * tasks
+        self.memory_gb -= spec.memory_gb * tasks
+        self.busy = True
+
+    def give(self, spec: Submission, tasks: int = 1) -> None:
+        """Undo `take`."""
+        self.cpus += spec.cpus * tasks
+        self.gpus += spec.gpus * tasks
+        self.memory_gb += spec.memory_gb * tasks
+
+
+def allowed(spec: Submission, type_name: str, zone: str, spot: bool) -> bool:
+    """Tell whether a job allows this type, zone and kind of machine."""
+    return ((spec.types is None or type_name in spec.types) and (spec.zone is None or zone == spec.zone)
+            and (spec.spot or not spot))
+
+
+def fits(spec: Submission, cpus: float, gpus: float, memory_gb: float) -> bool:
+    """Tell whether a task fits into these amounts."""
+    return (spec.cpus <= cpus + SLACK and spec.gpus <= gpus + SLACK and spec.memory_gb <= memory_gb + SLACK)
+
+
+def capacity(spec: Submission, cpus: float, gpus: float, memory_gb: float, most: int) -> int:
+    """Return how many tasks fit into these amounts, up to `most`."""
+    count = most
+    for need, free in ((spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb)):
+        if need > 0:
+            count = int(min(count, (free + SLACK) / need))
+    return max(0, count)
+
+
+def spread_limit(spec: Submission) -> int:
+    """Return how many of a job's tasks one zone may hold."""
+    return -(-spec.tasks // 2) if spec.spread else spec.tasks
--- /dev/null
+++ b/driftcleat/settings/operator.py
@@ -0,0 +1,69 @@
+"""The operators' own settings: an INI file whose defaults are ratios to the platform's figures."""
+
+import configparser
+import math
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from .platform import SettingsError
+
+
+def _ratio(section: str, default: float, low: float, high: float, help_text: str) -> Any:
+    return field(default=default, metadata={"section": section, "low": low, "high": high, "help": help_text})
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """What operators may set. Times are ratios to the platform's figures, named in each help text."""
+
+    ttl: float = _ratio("leadership", 0.2, 0.05, 0.9, "leader lease, of the worker lease")
+    renew: float = _ratio("leadership", 0.3, 0.1, 0.5, "pause between renewals, of the leader lease")
+    drift: float = _ratio("leadership", 0.002, 0.0005, 0.1, "part of a lease given up for clock drift")
+    hold: float = _ratio("leadership", 2.0, 0.0, 20.0, "longest unsure time, of the worker lease")
+    deaf: float = _ratio("leadership", 0.45, 0.1, 2.0, "time with no report at all, of the worker lease")
+    sample: float = _ratio("placement", 3, 1, 1000, "machines looked at first for a place")
+    budget: float = _ratio("placement", 0.01, 0.0005, 0.2, "time of one round, of the report interval")
+    scan: float = _ratio("placement", 1.67, 0.2, 20.0, "pause between scans, of the report interval")
+    answer: float = _ratio("placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, "
+                                                        "of the report interval")
+    lost: float = _ratio("fleet", 1.0, 0.5, 10.0, "silence until a machine is given up, of the worker lease")
+    fence: float = _ratio("fleet", 0.35, 0.1, 0.8, "time until a machine that keeps a cancelled task is "
+                                                   "returned, of the time a cancellation has")
+    idle: float = _ratio("fleet", 1.5, 0.0, 100.0, "idle time until a machine is returned, of its boot time")
+    late: float = _ratio("fleet", 2.2, 1.0, 20.0, "boot time until a machine is replaced, of its usual one")
+    headroom: float = _ratio("fleet", 1.0, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
+                                                      "machine boots")
+    queue: float = _ratio("api", 4.0, 0.1, 100.0, "submissions waiting at most, of the changes a second")
+    retry: float = _ratio("api", 0.34, 0.1, 10.0, "Retry-After, of the report interval")
+
+
+def load_tuning(path: str | None) -> Tuning:
+    """Return the checked settings of an INI file (none: the defaults); `SettingsError` with one line."""
+    if path is None:
+        return Tuning()
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror or error}") from None
+    except (configparser.Error, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: is not INI: {' '.join(str(error).split())}") from None
+    known = {(entry.metadata["section"], entry.name): entry for entry in fields(Tuning)}
+    values: dict[str, float] = {}
+    if parser.defaults():
+        raise SettingsError(f"{path}: DEFAULT: unknown section")
+    for section in parser.sections():
+        for key, text in parser.items(section):
+            entry = known.get((section, key))
+            if entry is None:
+                raise SettingsError(f"{path}: {section}.{key}: unknown key")
+            try:
+                value = float(text)
+            except ValueError:
+                raise SettingsError(f"{path}: {section}.{key}: must be a number") from None
+            low, high = entry.metadata["low"], entry.metadata["high"]
+            if not math.isfinite(value) or not low <= value <= high:
+                raise SettingsError(f"{path}: {section}.{key}: must be {low:g} to {high:g}")
+            values[key] = value
+    return Tuning(**values)
--- /dev/null
+++ b/driftcleat/settings/platform.py
@@ -0,0 +1,192 @@
+"""The settings that the platform hands over: one TOML file for each controller."""
+
+import math
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+
+class SettingsError(Exception):
+    """A settings file that cannot be used; the text names file and key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another controller."""
+
+    label: str
+    zone: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team's guarantee and limit; 0 means none."""
+
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float
+    gpus_max: float
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """An aim stated for a class of jobs."""
+
+    kind: str
+    job_class: str | None
+    within_s: float
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Everything the platform says, checked."""
+
+    label: str
+    zone: str
+    bind: str
+    back: str
+    peers: tuple[Peer, ...]
+    cloud: str
+    state: str
+    zones: tuple[str, ...]
+    clock_off_s: float
+    teams: dict[str, Team]
+    objectives: tuple[Objective, ...]
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+    state_rps: float
+    write_rps: float
+    value_bytes: int
+    txn_ops: int
+    cloud_rps: float
+    list_lag_s: float
+    core_share: float
+    memory_mb: float
+    fd_limit: int
+
+
+_REQUIRED = object()
+
+
+class _Reader:
+    """Reads checked values from one table of the file."""
+
+    def __init__(self, path: str, table: Any, where: str) -> None:
+        self.path, self.where = path, where
+        if not isinstance(table, dict):
+            raise SettingsError(f"{path}: {where or 'file'}: must be a table")
+        self.table = table
+
+    def fail(self, key: str, why: str) -> SettingsError:
+        name = f"{self.where}.{key}" if self.where else key
+        return SettingsError(f"{self.path}: {name}: {why}")
+
+    def value(self, key: str, default: Any = _REQUIRED) -> Any:
+        if key in self.table:
+            return self.table[key]
+        if default is _REQUIRED:
+            raise self.fail(key, "is missing")
+        return default
+
+    def text(self, key: str, default: Any = _REQUIRED) -> str:
+        value = self.value(key, default)
+        if not isinstance(value, str) or not value:
+            raise self.fail(key, "must be a text that is not empty")
+        return value
+
+    def number(self, key: str, default: Any = _REQUIRED, positive: bool = False) -> float:
+        value = self.value(key, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+            raise self.fail(key, "must be a number")
+        if value < 0 or (positive and value == 0):
+            raise self.fail(key, "must be above 0" if positive else "must not be negative")
+        return float(value)
+
+    def count(self, key: str, default: Any = _REQUIRED) -> int:
+        value = self.value(key, default)
+        if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+            raise self.fail(key, "must be a whole number above 0")
+        return value
+
+    def address(self, key: str) -> str:
+        text = self.text(key)
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+            raise self.fail(key, "must be HOST:PORT")
+        return text
+
+    def table_at(self, key: str) -> "_Reader":
+        return _Reader(self.path, self.value(key), f"{self.where}.{key}" if self.where else key)
+
+    def tables_at(self, key: str) -> list["_Reader"]:
+        value = self.value(key, [])
+        if not isinstance(value, list):
+            raise self.fail(key, "must be a list of tables")
+        name = f"{self.where}.{key}" if self.where else key
+        return [_Reader(self.path, entry, f"{name}[{number}]") for number, entry in enumerate(value)]
+
+
+def load_platform(path: str) -> Platform:
+    """Return the checked settings of a file; `SettingsError` with one line otherwise."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror or error}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: is not TOML: {error}") from None
+    return parse_platform(path, raw)
+
+
+def parse_platform(path: str, raw: Any) -> Platform:
+    """Return the checked settings of data read from `path`."""
+    top = _Reader(path, raw, "")
+    external = top.table_at("external")
+    deployment = top.table_at("deployment")
+    workers = deployment.table_at("workers")
+    state = deployment.table_at("state")
+    cloud = deployment.table_at("cloud")
+    resources = deployment.table_at("resources")
+    zones = deployment.value("zones")
+    if not isinstance(zones, list) or not zones or not all(isinstance(zone, str) for zone in zones):
+        raise deployment.fail("zones", "must be a list of names")
+    teams = {}
+    for table in deployment.tables_at("teams"):
+        team = Team(table.text("name"), table.number("cpus", 0.0), table.number("cpus_max", 0.0),
+                    table.number("gpus", 0.0), table.number("gpus_max", 0.0))
+        if team.name in teams:
+            raise table.fail("name", "appears twice")
+        teams[team.name] = team
+    objectives = []
+    for table in deployment.tables_at("objectives"):
+        job_class = table.value("class", None)
+        if job_class is not None:
+            job_class = table.text("class")
+        objectives.append(Objective(table.text("kind"), job_class, table.number("within_s", 0.0),
+                                    table.number("share", 0.0)))
+    peers = tuple(Peer(table.text("label"), table.text("domain", "unknown"), table.address("address"))
+                  for table in top.tables_at("known"))
+    label = top.text("label")
+    names = [label, *(peer.label for peer in peers)]
+    if len(set(names)) != len(names):
+        raise top.fail("known", "a label appears twice")
+    return Platform(
+        label=label, zone=top.text("domain"), bind=top.address("bind"), back=top.address("back"), peers=peers,
+        cloud=external.address("cloud"), state=external.address("state"), zones=tuple(zones),
+        clock_off_s=deployment.number("clock_off_ms", 0.0) / 1000, teams=teams, objectives=tuple(objectives),
+        report_s=workers.number("report_s", positive=True), lease_s=workers.number("lease_s", positive=True),
+        gang_wait_s=workers.number("gang_wait_s", positive=True),
+        gang_peer_s=workers.number("gang_peer_s", positive=True),
+        cancel_s=workers.number("cancel_s", positive=True),
+        state_rps=state.number("rps", positive=True), write_rps=state.number("write_rps", positive=True),
+        value_bytes=int(state.number("value_kb", positive=True) * 1024), txn_ops=state.count("txn_ops"),
+        cloud_rps=cloud.number("rps", positive=True), list_lag_s=cloud.number("list_lag_s"),
+        core_share=resources.number("core_share", 1.0, positive=True),
+        memory_mb=resources.number("memory_mb", 256.0, positive=True), fd_limit=resources.count("fd_limit", 1024),
+    )
--- /dev/null
+++ b/driftcleat/store/client.py
@@ -0,0 +1,201 @@
+"""The state service's client: pooled connections, a time-out on every call, its limits kept on our side."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+import aiohttp
+
+from driftcleat import wire
+from driftcleat.wire import state as messages
+
+T = TypeVar("T")
+
+
+class StoreError(Exception):
+    """A request that the store did not answer as asked."""
+
+
+class Refused(StoreError):
+    """The request was certainly not carried out (503, 429 or no connection)."""
+
+
+class Unknown(StoreError):
+    """Nobody can say yet whether the request was carried out."""
+
+
+class Malformed(StoreError):
+    """The store calls the request wrong (400), or its answer is not one."""
+
+
+class Conflict(StoreError):
+    """A transaction whose conditions did not hold."""
+
+    def __init__(self, failed: tuple[str, ...]) -> None:
+        super().__init__(f"conditions failed: {', '.join(failed)}")
+        self.failed = failed
+
+
+class NoLease(StoreError):
+    """The lease has ended."""
+
+
+class Bucket:
+    """Permits `rate` units a second with bursts of one second's worth."""
+
+    def __init__(self, rate: float, clock: Callable[[], float]) -> None:
+        self.rate, self.clock = rate, clock
+        self.level, self.at = rate, clock()
+
+    def _fill(self) -> None:
+        now = self.clock()
+        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.at = now
+
+    def delay(self, units: float) -> float:
+        """Return how long to wait until `units` are there (a request above the burst waits for a full one)."""
+        self._fill()
+        return max(0.0, (min(units, self.rate) - self.level) / self.rate)
+
+    def take(self, units: float) -> None:
+        """Use up `units`; the level may go below zero."""
+        self._fill()
+        self.level -= units
+
+    def ready(self, units: float) -> bool:
+        """Use up `units` if they are there."""
+        if self.delay(units) > 0:
+            return False
+        self.take(units)
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What the store takes, with a little kept back for what is counted on its side of the network."""
+
+    rps: float
+    write_rps: float
+    timeout_s: float
+
+
+class StoreClient:
+    """Speaks to the state service."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str, limits: StoreLimits,
+                 clock: Callable[[], float]) -> None:
+        self.session, self.base, self.limits, self.clock = session, f"http://{address}", limits, clock
+        self.requests = Bucket(limits.rps * 0.9, clock)
+        self.writes = Bucket(limits.write_rps * 0.9, clock)
+        self.served_at: float | None = None
+        self.refused_at: float | None = None
+
+    async def _call(self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None,
+                    params: dict[str, str] | None = None, urgent: bool = False) -> tuple[int, bytes]:
+        if not urgent:
+            while (delay := self.requests.delay(1)) > 0:
+                await asyncio.sleep(delay)
+        self.requests.take(1)
+        timeout = aiohttp.ClientTimeout(total=timeout_s or self.limits.timeout_s)
+        try:
+            async with self.session.request(method, self.base + path, data=body, params=params,
+                                            timeout=timeout) as response:
+                status, data = response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            self.refused_at = self.clock()
+            raise Refused(f"no connection: {error}") from None
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.refused_at = self.clock()
+            raise Unknown(f"no answer: {error!r}") from None
+        if status == 429:
+            raise Refused("too many requests")
+        if status >= 500:
+            self.refused_at = self.clock()
+            raise Refused(f"status {status}")
+        self.served_at = self.clock()
+        if status == 400:
+            if b"no such lease" in data:
+                raise NoLease("no such lease")
+            raise Malformed(f"{method} {path}: {data[:200]!r}")
+        return status, data
+
+    async def get(self, key: str) -> messages.Item | None:
+        """Return a key, or None when it does not exist."""
+        status, data = await self._call("GET", f"/store/{key}")
+        if status == 404:
+            return None
+        return _expect(status, data, messages.Item)
+
+    async def page(self, prefix: str, after: str | None, limit: int) -> messages.Page:
+        """Return a page of the keys under a prefix."""
+        params = {"under": prefix, "page": str(limit)}
+        if after is not None:
+            params["from"] = after
+        status, data = await self._call("GET", "/store", params=params, timeout_s=self.limits.timeout_s * 3)
+        return _expect(status, data, messages.Page)
+
+    async def read_all(self, prefix: str, limit: int = 500) -> list[messages.Item]:
+        """Return all keys under a prefix."""
+        items: list[messages.Item] = []
+        after: str | None = None
+        while True:
+            page = await self.page(prefix, after, limit)
+            items.extend(page.items)
+            if not page.more or not page.items:
+                return items
+            after = page.items[-1].key
+
+    async def txn(self, txn: messages.Txn) -> int:
+        """Carry out a transaction; return its revision."""
+        return await self.txn_raw(wire.encode(txn), len(txn.changes))
+
+    async def txn_raw(self, body: bytes, changes: int) -> int:
+        """Carry out an encoded transaction; return its revision."""
+        while (delay := self.writes.delay(changes)) > 0:
+            await asyncio.sleep(delay)
+        self.writes.take(changes)
+        status, data = await self._call("POST", "/txn", body)
+        if status == 409:
+            raise Conflict(_expect(200, data, messages.TxnFailed).failed)
+        return _expect(status, data, messages.TxnDone).revision
+
+    async def grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        body = wire.encode(messages.LeaseRequest(round(ttl_s * 1000)))
+        status, data = await self._call("POST", "/leases", body, urgent=True)
+        return _expect(status, data, messages.LeaseAnswer).lease
+
+    async def renew(self, lease: int, timeout_s: float) -> None:
+        """Give a lease its full time again; `NoLease` once it has ended."""
+        status, _ = await self._call("POST", f"/leases/{lease}/renew", b"{}", timeout_s, urgent=True)
+        if status == 404:
+            raise NoLease(f"lease {lease} has ended")
+        if status != 200:
+            raise Malformed(f"renewal got status {status}")
+
+    async def end(self, lease: int) -> None:
+        """End a lease at once."""
+        await self._call("DELETE", f"/leases/{lease}", urgent=True)
+
+    async def watch(self, prefix: str, revision: int, wait_s: float) -> messages.WatchAnswer | None:
+        """Wait for a change under a prefix; None when the revision is too old."""
+        params = {"under": prefix, "from": str(revision), "waitMs": str(round(wait_s * 1000))}
+        status, data = await self._call("GET", "/watch", params=params,
+                                        timeout_s=wait_s + self.limits.timeout_s)
+        if status == 410:
+            return None
+        return _expect(status, data, messages.WatchAnswer)
+
+
+def _expect(status: int, data: bytes, kind: type[T]) -> T:
+    if status != 200:
+        raise Malformed(f"status {status}")
+    try:
+        return wire.decode(data, kind)
+    except wire.WireError as error:
+        raise Malformed(str(error)) from None
+
+
+__all__ = ["Bucket", "Conflict", "Malformed", "NoLease", "Refused", "StoreClient", "StoreError", "StoreLimits",
+           "Unknown"]
--- /dev/null
+++ b/driftcleat/term.py
@@ -0,0 +1,559 @@
+"""One term of leadership without any I/O: what waits to be decided, and the next batch of decisions.
+
+The controller feeds it (submissions, cancellations, reports, lists), asks for the next batch, has the
+store take it, and makes it visible. A batch is built in the order: cancellations, submissions, what
+reports prove, stops, rental requests, placement, clearing away.
+"""
+
+import logging
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from driftcleat.fleet.arrivals import Arrivals
+from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
+from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, Place, TaskState, change_machine
+from driftcleat.placement.engine import Limits, PlacementRound, Victim, plan_preemption
+from driftcleat.placement.rooms import Room, allowed, capacity, fits
+from driftcleat.settings import Platform, Tuning
+from driftcleat.store.records import RENTALS, Layout, RentalRecord
+from driftcleat.wire.cloud import MachineType
+from driftcleat.wire.users import JobView, Kind, Submission
+
+log = logging.getLogger(__name__)
+
+INFINITE = float("inf")
+
+
+@dataclass(slots=True)
+class Ticket:
+    """A user's request that waits for its batch; `answer` is called once, after the commit or on the way."""
+
+    answer: Callable[[JobView | None], None]
+    spec: Submission | None = None
+    job_id: str = ""
+
+
+@dataclass(slots=True)
+class OpenRental:
+    """A rental request that is stored and not yet settled."""
+
+    name: str
+    record: RentalRecord
+    sent: bool = False
+
+
+@dataclass(slots=True)
+class Counters:
+    """What this term has done, for metrics."""
+
+    batches: int = 0
+    rounds: int = 0
+    rounds_cut: int = 0
+    placed: int = 0
+    preempted: int = 0
+    rented: int = 0
+    returned: int = 0
+    failures: dict[str, int] = field(default_factory=dict)
+
+
+class Term:
+    """The decisions of one term."""
+
+    def __init__(self, platform: Platform, tuning: Tuning, cluster: Cluster, layout: Layout, rng: random.Random,
+                 clock: Callable[[], float], wall: Callable[[], float]) -> None:
+        self.platform, self.tuning, self.cluster, self.layout = platform, tuning, cluster, layout
+        self.rng, self.clock, self.wall = rng, clock, wall
+        now = clock()
+        self.place_from = now + platform.report_s * 1.25
+        self.submissions: deque[Ticket] = deque()
+        self.cancels: deque[Ticket] = deque()
+        self.garbage: list[str] = []
+        self.open_rentals: dict[str, OpenRental] = {}
+        self.new_rentals: list[OpenRental] = []
+        self.settled_rentals: list[str] = []
+        self.notes: dict[str, object] = {}
+        self.rental_number = 0
+        self.refused: dict[Offer, tuple[float, float]] = {}
+        self.urgent: set[str] = set()
+        self.in_flight: set[str] = set()
+        self.ended: OrderedDict[str, JobView] = OrderedDict()
+        self.arrivals = Arrivals()
+        self.counters = Counters()
+        self.room_changed = True
+        self.place_again_at = 0.0
+        self.resume_behind: str | None = None
+        self.claims: dict[str, float] = {}
+        self.progress_at: dict[tuple[str, int], float] = {}
+        cluster.on_exit = self._note_exit
+        for job in cluster.jobs.values():
+            self.arrivals.note(job.spec, now - max(0.0, wall() - job.submitted))
+
+    # -- intake -------------------------------------------------------------------------------------------
+
+    def lookup(self, job_id: str) -> JobView | None:
+        """Return the committed state of a job this term knows of."""
+        job = self.cluster.jobs.get(job_id)
+        if job is not None:
+            return self.cluster.view(job)
+        return self.ended.get(job_id)
+
+    @property
+    def queue_full(self) -> bool:
+        """Whether no more requests can be taken for now."""
+        return len(self.submissions) + len(self.cancels) >= self.tuning.queue * self.platform.write_rps
+
+    def _note_exit(self, machine: Machine, job: Job, why: str) -> None:
+        self.counters.failures[why] = self.counters.failures.get(why, 0) + 1
+        if len(machine.failed_jobs) >= 2 and machine.state is MachineState.UP:
+            log.info("machine %s fails its tasks, it is drained", machine.name)
+            change_machine(machine, MachineState.DRAINING)
+
+    # -- the batch ----------------------------------------------------------------------------------------
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a batch built now may hold something."""
+        now = self.clock()
+        return bool(self.submissions or self.cancels or self.cluster.dirty or self.new_rentals
+                    or self.settled_rentals or self.garbage or self.notes
+                    or (self.room_changed and now >= max(self.place_from, self.place_again_at)))
+
+    def build(self) -> Batch:
+        """Return the next batch; it may be empty."""
+        now = self.clock()
+        batch = Batch(self.cluster.jobs, self.layout.chunk_of, self.platform.txn_ops - 1, 56 * 1024)
+        self._take_cancels(batch)
+        self._take_submissions(batch, now)
+        self._take_reports(batch, now)
+        self._take_drains(batch)
+        self._take_rentals(batch)
+        if now >= self.place_from and self.room_changed and now >= self.place_again_at:
+            self._place(batch, now)
+        while self.garbage and batch.room_extra():
+            batch.remove(self.garbage.pop())
+        self.in_flight = {place.machine for _, _, _, place in batch.moves if place is not None}
+        return batch
+
+    def commit(self, batch: Batch, revision: int, garbage: list[str]) -> None:
+        """Make a batch visible that the store has taken."""
+        now = self.clock()
+        for job_id in batch.heads:
+            job = batch.jobs[job_id]
+            if job.state in (JobState.DONE, JobState.GONE):
+                self.ended[job_id] = self.cluster.view(job)
+                self.claims.pop(job_id, None)
+                while len(self.ended) > 5000:
+                    self.ended.popitem(last=False)
+            elif job.state is JobState.CANCELLED:
+                self.urgent.update(place.machine for place in job.places.values())
+        self.cluster.commit(batch, revision, now)
+        for _, _, old, new in batch.moves:
+            if new is None or new.stop is not None:
+                self.room_changed = True
+            if new is not None and new.stop is not None and old is not None:
+                self.urgent.add(new.machine)
+        self.garbage.extend(garbage)
+        self.in_flight = set()
+        self.counters.batches += 1
+        for call in batch.after:
+            call()
+
+    def _take_cancels(self, batch: Batch) -> None:
+        while self.cancels:
+            ticket = self.cancels[0]
+            job = batch.get(ticket.job_id)
+            if job is not None and job.state is JobState.ACTIVE:
+                if not batch.room(job):
+                    return
+                batch.cancel(ticket.job_id, self.wall())
+            self.cancels.popleft()
+            batch.after.append(self._answer_later(ticket, ticket.job_id))
+
+    def _take_submissions(self, batch: Batch, now: float) -> None:
+        while self.submissions:
+            ticket = self.submissions[0]
+            spec = ticket.spec
+            assert spec is not None
+            if batch.get(spec.id) is None and spec.id not in self.ended:
+                job = Job(spec, self.wall())
+                if not batch.room(job):
+                    return
+                batch.create(job)
+                self.arrivals.note(spec, now)
+                self.room_changed = True
+            self.submissions.popleft()
+            batch.after.append(self._answer_later(ticket, spec.id))
+
+    def _answer_later(self, ticket: Ticket, job_id: str) -> Callable[[], None]:
+        return lambda: ticket.answer(self.lookup(job_id))
+
+    def _take_reports(self, batch: Batch, now: float) -> None:
+        for name in list(self.cluster.dirty):
+            machine = self.cluster.machines.get(name)
+            if machine is not None:
+                before = len(batch.moves)
+                if not self.cluster.reconcile(machine, batch, now):
+                    return
+                if len(batch.moves) > before:
+                    self.room_changed = True
+            self.cluster.dirty.discard(name)
+
+    def _take_drains(self, batch: Batch) -> None:
+        """Stop what runs on machines that take no more: spot notices, machines that fail their tasks."""
+        for machine in self.cluster.machines.values():
+            report = machine.report
+            if machine.state is MachineState.UP and report is not None and report.notice_s is not None:
+                log.info("machine %s has a notice of %.1f s", machine.name, report.notice_s)
+                change_machine(machine, MachineState.DRAINING)
+            if machine.state is not MachineState.DRAINING:
+                continue
+            for job_id, index in machine.tasks:
+                job = batch.get(job_id)
+                if job is None or job.state is not JobState.ACTIVE:
+                    continue
+                if not self._stop_attempt(batch, job, index):
+                    return
+
+    def _stop_attempt(self, batch: Batch, job: Job, index: int) -> bool:
+        """Stop a task with time to save; of a gang all tasks. False when the batch is too full."""
+        place = job.places.get(index)
+        if place is None or place.stop is not None:
+            return True
+        grace = job.spec.save_s if job.spec.checkpoint_s > 0 else 0.0
+        indices = list(job.places) if job.is_gang else [index]
+        chunks = len({self.layout.chunk_of(job, other) for other in indices})
+        if not batch.room(job, len(indices), chunks):
+            return False
+        for other in indices:
+            batch.stop(job.id, other, grace)
+        return True
+
+    def _take_rentals(self, batch: Batch) -> None:
+        while self.notes and batch.room_extra():
+            batch.put(*self.notes.popitem())
+        while self.settled_rentals and batch.room_extra():
+            batch.remove(RENTALS + self.settled_rentals.pop())
+        while self.new_rentals and batch.room_extra():
+            rental = self.new_rentals.pop(0)
+            batch.put(RENTALS + rental.name, rental.record)
+            batch.after.append(self._open_later(rental))
+
+    def _open_later(self, rental: OpenRental) -> Callable[[], None]:
+        """Send a rental only once its name is stored."""
+        def opened() -> None:
+            self.open_rentals[rental.name] = rental
+        return opened
+
+    # -- placement ----------------------------------------------------------------------------------------
+
+    def ordered_jobs(self) -> tuple[list[Job], set[str]]:
+        """Return the jobs with queued tasks, guarantees first, then rank, then age; and who is guaranteed."""
+        guaranteed: set[str] = set()
+        sums: dict[str, list[float]] = {}
+        queued: list[Job] = []
+        for job in sorted(self.cluster.jobs.values(), key=lambda job: (job.submitted, job.id)):
+            if job.state is not JobState.ACTIVE:
+                continue
+            team = self.platform.teams.get(job.spec.team)
+            total = sums.setdefault(job.spec.team, [0.0, 0.0])
+            left = job.spec.tasks - job.done
+            total[0] += job.spec.cpus * left
+            total[1] += job.spec.gpus * left
+            if team is not None and _within(team.cpus, team.gpus, total, job.spec):
+                guaranteed.add(job.id)
+            if job.queued > 0:
+                queued.append(job)
+        queued.sort(key=lambda job: (job.id not in guaranteed, job.spec.rank.level, job.submitted, job.id))
+        return queued, guaranteed
+
+    def limits(self, team_name: str) -> Limits:
+        """Return what a team may still take."""
+        team = self.platform.teams.get(team_name)
+        usage = self.cluster.usage.get(team_name)
+        cpus, gpus = (usage.cpus, usage.gpus) if usage is not None else (0.0, 0.0)
+        if team is None:
+            return Limits(0.0, 0.0)
+        return Limits(team.cpus_max - cpus if team.cpus_max > 0 else INFINITE,
+                      team.gpus_max - gpus if team.gpus_max > 0 else INFINITE)
+
+    def rooms(self, now: float) -> list[Room]:
+        """Return the rooms of machines that lately reported and take tasks."""
+        fresh = now - self.platform.report_s * 2.0
+        return [_room(machine) for machine in self.cluster.machines.values()
+                if machine.state is MachineState.UP and machine.type is not None and machine.heard_at >= fresh
+                and machine.full_until <= now]
+
+    def _place(self, batch: Batch, now: float) -> None:
+        deadline = now + self.platform.report_s * self.tuning.budget
+        self.counters.rounds += 1
+        queued, guaranteed = self.ordered_jobs()
+        rooms = self.rooms(now)
+        for _, _, old, new in batch.moves:
+            self.room_changed = self.room_changed or old != new
+        work = PlacementRound(rooms, round(self.tuning.sample), self.rng,
+                              lambda job_id, index: (job_id, index) in self.cluster.ghosts)
+        limits: dict[str, Limits] = {}
+        if self.resume_behind is not None:
+            at = next((n for n, job in enumerate(queued) if job.id == self.resume_behind), -1)
+            queued = queued[at + 1:] + queued[:at + 1]
+            self.resume_behind = None
+        self.room_changed = False
+        retry_at = INFINITE
+        for job in queued:
+            wait = self.cluster.retry_at.get(job.id, 0.0)
+            if wait > now:
+                retry_at = min(retry_at, wait)
+                continue
+            current = batch.get(job.id)
+            if current is None or current.state is not JobState.ACTIVE or job.id in batch.jobs:
+                # It changes in this batch already; it is placed in the next one.
+                self.room_changed = True
+                continue
+            if self.clock() >= deadline or not batch.room(job):
+                # The budget of this round is used up: the next one goes on behind the job before this.
+                self._cut_round(job, queued)
+                return
+            self._place_one(batch, job, work, limits, job.id in guaranteed, now)
+        if retry_at < INFINITE:
+            self.room_changed = True
+            self.place_again_at = retry_at
+        elif any(job.queued for job in queued):
+            self.room_changed = True
+            self.place_again_at = now + self.platform.report_s / 4
+
+    def _cut_round(self, job: Job, queued: list[Job]) -> None:
+        self.counters.rounds_cut += 1
+        at = queued.index(job)
+        self.resume_behind = queued[at - 1].id if at > 0 else None
+        self.room_changed = True
+        self.place_again_at = 0.0
+
+    def _place_one(self, batch: Batch, job: Job, work: PlacementRound, limits: dict[str, Limits],
+                   guaranteed: bool, now: float) -> None:
+        limit = limits.setdefault(job.spec.team, self.limits(job.spec.team))
+        most = self._batch_most(batch, job)
+        if job.is_gang and job.queued > most:
+            self.room_changed = True
+            return
+        placed = work.place(job, limit, most)
+        if placed:
+            attempt = batch.launch(job.id)
+            for index, room in placed:
+                batch.move(job.id, index, TaskState.PLACED, Place(room.name, room.zone, attempt))
+            self.counters.placed += len(placed)
+            self.claims.pop(job.id, None)
+        elif job.queued and limit.fits(job.spec, job.queued if job.is_gang else 1):
+            self._preempt_for(batch, job, work, guaranteed, now)
+
+    def _batch_most(self, batch: Batch, job: Job) -> int:
+        """Return how many tasks of a job this batch can still place."""
+        chunk = self.layout.chunk_tasks(job)
+        ops = batch.ops_left - 2
+        if job.is_gang:
+            chunks = -(-job.spec.tasks // chunk)
+            fit = batch.room(job, min(job.queued, len(self.cluster.machines) + chunks), chunks - 1)
+            return job.queued if fit else 0
+        return max(1, min(chunk * max(1, ops), (batch.size_left - 4096) // 128))
+
+    def _preempt_for(self, batch: Batch, job: Job, work: PlacementRound, guaranteed: bool, now: float) -> None:
+        """Stop the cheapest work that the rules let this job displace, once per claim."""
+        if job.spec.tasks > 1 and job.is_gang:
+            return
+        if self.claims.get(job.id, 0.0) > now:
+            return
+        if not guaranteed and job.spec.rank.level > 1:
+            return
+        level = job.spec.rank.level
+        protected = self._protected if guaranteed else None
+
+        def victims_of(name: str) -> list[Victim]:
+            machine = self.cluster.machines[name]
+            found = []
+            for (job_id, index), place in machine.tasks.items():
+                other = batch.get(job_id)
+                if (other is None or other.state is not JobState.ACTIVE or place.stop is not None
+                        or (other.is_gang and other.spec.tasks > 1)):
+                    continue
+                may = other.spec.rank.level > level
+                if not may and protected is not None and other.spec.team != job.spec.team:
+                    may = not protected(other)
+                if may:
+                    found.append(Victim(other, index, self._loss(other)))
+            return found
+
+        plan = plan_preemption(job.spec, work.rooms, victims_of,
+                               [room.name for room in work.rooms if room.busy])
+        if plan is None:
+            return
+        if sum(1 for _ in plan.victims) * 2 > batch.ops_left:
+            self.room_changed = True
+            return
+        for victim in plan.victims:
+            if not self._stop_attempt(batch, batch.get(victim.job.id) or victim.job, victim.index):
+                self.room_changed = True
+                return
+            self.counters.preempted += 1
+        self.claims[job.id] = now + self.platform.report_s * 3 + max(
+            victim.job.spec.save_s for victim in plan.victims)
+        room = work.by_name[plan.machine]
+        # Its room is spoken for in this round: nothing else is placed there.
+        room.cpus = room.gpus = room.memory_gb = -1.0
+
+    def _protected(self, job: Job) -> bool:
+        """Whether a job's team stays within its guarantee, so that others may not displace it."""
+        team = self.platform.teams.get(job.spec.team)
+        usage = self.cluster.usage.get(job.spec.team)
+        if team is None or usage is None:
+            return False
+        return _within(team.cpus, team.gpus, [usage.cpus, usage.gpus], job.spec)
+
+    def _loss(self, job: Job) -> float:
+        """Estimate what a stop loses, in seconds of all that the task takes."""
+        spec = job.spec
+        size = max(spec.gpus, spec.cpus / 16)
+        if spec.kind is Kind.SERVICE:
+            return size * 1e4
+        if spec.checkpoint_s > 0:
+            return size * (spec.save_s + 1.0)
+        return size * (spec.estimate_s + 1.0)
+
+    # -- fleet --------------------------------------------------------------------------------------------
+
+    def plan_rentals(self, now: float) -> Plan:
+        """Return what to rent for queued and expected work, and which machines that work would use."""
+        queued, _ = self.ordered_jobs()
+        limits: dict[str, Limits] = {}
+        demands: list[Demand] = []
+        for job in queued:
+            if self.cluster.failures.get(job.id, 0) >= 3:
+                continue
+            limit = limits.setdefault(job.spec.team, self.limits(job.spec.team))
+            wanted = job.queued
+            if job.is_gang:
+                if not limit.fits(job.spec, wanted):
+                    continue
+            else:
+                wanted = capacity(job.spec, limit.cpus, limit.gpus, INFINITE, wanted)
+            if wanted <= 0:
+                continue
+            limit.take(job.spec, wanted)
+            demands.append(Demand(job.spec, wanted, job.zone_counts()))
+        demands.extend(self.expected(now))
+        rooms = [_room(machine) for machine in self.cluster.machines.values()
+                 if machine.state in (MachineState.UP, MachineState.BOOTING) and machine.type is not None]
+        for rental in [*self.open_rentals.values(), *self.new_rentals]:
+            record = rental.record
+            kind = self.cluster.types.get(record.type)
+            if kind is not None:
+                rooms.extend(Room(f"{rental.name}+{number}", kind.name, record.zone, record.spot, kind.cpus,
+                                  kind.gpus, kind.memory_gb) for number in range(record.count))
+        return plan_fleet(demands, rooms, self.cluster.types,
+                          lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now, 64)
+
+    def expected(self, now: float) -> list[Demand]:
+        """Return the arrivals to keep room for: those of the time a machine needs to boot."""
+        out: list[Demand] = []
+        for spec, rate in self.arrivals.rates(now):
+            boots = [kind.boot_s for kind in self.cluster.types.values()
+                     if fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
+                     and (spec.types is None or kind.name in spec.types)]
+            if not boots:
+                continue
+            tasks = round(rate * min(boots) * self.tuning.headroom)
+            if tasks > 0:
+                out.append(Demand(spec, tasks, {}))
+        return out
+
+    def note_refusal(self, offer: Offer, now: float) -> None:
+        """The cloud has none of this offer: ask again later, and later still if it goes on."""
+        pause = self.refused.get(offer, (0.0, 0.0))[1]
+        pause = min(30.0, max(5.0, pause * 1.5))
+        self.refused[offer] = (now + pause, pause)
+
+    def rent(self, plan: Plan) -> None:
+        """Queue the plan's rentals; each is stored under a name of its own before it is sent."""
+        for (type_name, zone, spot), count in plan.rentals.items():
+            self.rental_number += 1
+            name = f"{self.cluster.token}-{self.rental_number}"
+            record = RentalRecord(type_name, zone, spot, min(count, 50), self.wall())
+            self.new_rentals.append(OpenRental(name, record))
+
+    def settle_rental(self, rental: OpenRental, machines: tuple[str, ...], now: float) -> None:
+        """The cloud has answered a rental request for good."""
+        self.open_rentals.pop(rental.name, None)
+        self.settled_rentals.append(rental.name)
+        record = rental.record
+        self.counters.rented += len(machines)
+        for name in machines:
+            if name not in self.cluster.gone:
+                self.cluster.adopt(name, record.type, record.zone, record.spot, "", now)
+
+    def surplus(self, plan: Plan, now: float) -> list[Machine]:
+        """Return machines that are to be returned: idle, drained, late, silent, or in a cancellation's way."""
+        platform, tuning = self.platform, self.tuning
+        settled = now - self.cluster.started_at > platform.lease_s
+        up = [machine for machine in self.cluster.machines.values()
+              if machine.state in (MachineState.UP, MachineState.DRAINING)]
+        silent = [machine for machine in up if now - machine.heard_at > platform.lease_s * tuning.lost]
+        # Many silent at once: more likely our own network than theirs.
+        patience = 1.0 if len(silent) <= max(2, len(up) // 3) else 3.0
+        out: list[Machine] = []
+        for machine in self.cluster.machines.values():
+            if machine.state in (MachineState.RETURNING, MachineState.GONE) or machine.name in self.in_flight:
+                continue
+            boot_s = machine.type.boot_s if machine.type is not None else platform.lease_s
+            if machine.state is MachineState.BOOTING:
+                if settled and now - machine.rented_at > boot_s * tuning.late:
+                    out.append(machine)
+            elif now - machine.heard_at > platform.lease_s * tuning.lost * patience:
+                if settled:
+                    out.append(machine)
+            elif not machine.tasks and (machine.state is MachineState.DRAINING or (
+                    machine.name not in plan.used and now - machine.idle_since > boot_s * tuning.idle)):
+                out.append(machine)
+        return out
+
+    def fenced(self) -> set[str]:
+        """Return machines that still may hold a cancelled task and must be gone before its time is up."""
+        names: set[str] = set()
+        wall = self.wall()
+        wait = self.platform.cancel_s * self.tuning.fence
+        for job in self.cluster.jobs.values():
+            if job.state is JobState.CANCELLED and wall - job.cancelled_at > wait:
+                names.update(place.machine for place in job.places.values())
+        return names
+
+
+def _within(cpus: float, gpus: float, total: list[float], spec: Submission) -> bool:
+    """Tell whether a sum lies within a guarantee; what a team is not guaranteed does not count against it."""
+    if cpus <= 0 and gpus <= 0:
+        return False
+    return ((cpus <= 0 or total[0] <= cpus + 1e-6) and (gpus <= 0 or total[1] <= gpus + 1e-6)
+            and (gpus <= 0 or spec.gpus > 0 or cpus > 0))
+
+
+def _room(machine: Machine) -> Room:
+    kind = machine.type
+    assert kind is not None
+    return Room(machine.name, kind.name, machine.zone, machine.spot, kind.cpus - machine.cpus,
+                kind.gpus - machine.gpus, kind.memory_gb - machine.memory_gb, machine.images, machine.failed_jobs,
+                bool(machine.tasks))
+
+
+def never_fits(spec: Submission, types: dict[str, MachineType], platform: Platform) -> str | None:
+    """Say why a job can never run, or None. `types` are the cloud's machine types by name."""
+    team = platform.teams.get(spec.team)
+    if team is None:
+        return "crew: unknown team"
+    kinds = [kind for kind in types.values() if spec.types is None or kind.name in spec.types]
+    if not any(fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
+               and any(allowed(spec, kind.name, zone, False) for zone in kind.zones)
+               for kind in kinds):
+        return "cores: a task fits no allowed machine type"
+    tasks = 1 if spec.kind is Kind.ARRAY else spec.tasks
+    for name, need, limit in (("cores", spec.cpus, team.cpus_max), ("accelerators", spec.gpus, team.gpus_max)):
+        if limit > 0 and need * tasks > limit + 1e-6:
+            return f"{name}: the job needs more than the team's limit"
+    return None
--- /dev/null
+++ b/driftcleat/wire/peers.py
@@ -0,0 +1,39 @@
+"""Messages between controllers: tagged tuples (array-like structs, the tag first)."""
+
+import msgspec
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+    """Asks a controller how it sees the world."""
+
+    sender: str
+
+
+class View(msgspec.Struct, frozen=True, array_like=True, tag="view"):
+    """How a controller sees the world; ages in seconds, negative when it never happened."""
+
+    sender: str
+    role: str
+    leader: str | None
+    token: int
+    served_age_s: float
+    refused_age_s: float
+
+
+class Forward(msgspec.Struct, frozen=True, array_like=True, tag="forward"):
+    """A user's request, passed on to the leader."""
+
+    method: str
+    path: str
+    body: str
+
+
+class Forwarded(msgspec.Struct, frozen=True, array_like=True, tag="forwarded"):
+    """The leader's answer to a user's request."""
+
+    status: int
+    body: str
+    retry_after_s: int | None
+
+
+PeerMessage = Ask | View | Forward | Forwarded
--- /dev/null
+++ b/driftcleat/wire/users.py
@@ -0,0 +1,151 @@
+"""Messages between users and controllers: submissions, job states, errors."""
+
+import math
+import re
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+
+from . import WireError, decode
+
+MAX_BODY = 64 * 1024
+MAX_TASKS = 100_000
+MAX_TEXT = 200
+MAX_TYPES = 64
+MAX_AMOUNT = 1e9
+ID_PATTERN = re.compile(r"req-[0-9]{1,18}\Z", re.ASCII)
+
+
+class Kind(StrEnum):
+    """How a job's tasks belong together."""
+
+    ARRAY = "array"
+    GANG = "group"
+    SERVICE = "daemon"
+
+
+class Rank(StrEnum):
+    """A job's priority, in the platform's words."""
+
+    CRITICAL = "critical"
+    HIGH = "high"
+    STANDARD = "standard"
+    BEST_EFFORT = "best_effort"
+
+    @property
+    def level(self) -> int:
+        """0 is the most urgent."""
+        return _LEVELS[self]
+
+
+_LEVELS = {Rank.CRITICAL: 0, Rank.HIGH: 1, Rank.STANDARD: 2, Rank.BEST_EFFORT: 3}
+
+
+class Submission(msgspec.Struct, frozen=True):
+    """A job as its user describes it."""
+
+    id: str = msgspec.field(name="nameId")
+    job_class: str = msgspec.field(name="cargo")
+    team: str = msgspec.field(name="crew")
+    kind: Kind = msgspec.field(name="rig")
+    rank: Rank = msgspec.field(name="rank")
+    tasks: int = msgspec.field(name="hands")
+    cpus: float = msgspec.field(name="cores")
+    gpus: float = msgspec.field(name="accelerators")
+    memory_gb: float = msgspec.field(name="memGb")
+    image: str = msgspec.field(name="hull")
+    image_gb: float = msgspec.field(name="imageGb")
+    one_zone: bool = msgspec.field(name="together")
+    spread: bool = msgspec.field(name="spread")
+    spot: bool = msgspec.field(name="driftwood")
+    estimate_s: float = msgspec.field(name="voyageS")
+    checkpoint_s: float = msgspec.field(name="mooringS")
+    save_s: float = msgspec.field(name="stowS")
+    types: tuple[str, ...] | None = msgspec.field(name="builds", default=None)
+    zone: str | None = msgspec.field(name="harbor", default=None)
+    deadline_s: float | None = msgspec.field(name="tideS", default=None)
+
+
+class JobView(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A job's state as users see it."""
+
+    id: str = msgspec.field(name="nameId")
+    state: str = msgspec.field(name="bearing")
+    done: int | None = None
+    running: int | None = None
+
+
+class ErrorView(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Why a request was not carried out, and which field is to blame."""
+
+    error: str
+    field: str | None = None
+
+
+class BadField(WireError):
+    """A submission with a field that is missing or invalid."""
+
+    def __init__(self, field: str, why: str) -> None:
+        super().__init__(f"{field}: {why}")
+        self.field = field
+
+
+def is_job_id(text: object) -> bool:
+    """Tell whether `text` has the form every job id has."""
+    return isinstance(text, str) and ID_PATTERN.match(text) is not None
+
+
+def parse_object(body: bytes) -> dict[str, Any]:
+    """Return the body's JSON object; `BadField` (field `body`) for anything else."""
+    try:
+        return decode(body, dict[str, Any])
+    except WireError:
+        raise BadField("body", "must be a JSON object") from None
+
+
+def parse_id(raw: dict[str, Any]) -> str:
+    """Return the object's job id, checked before all other fields."""
+    job_id = raw.get("nameId")
+    if not isinstance(job_id, str) or not is_job_id(job_id):
+        raise BadField("nameId", "must have the form req-000412")
+    return job_id
+
+
+def parse_submission(raw: dict[str, Any]) -> Submission:
+    """Return the checked submission; `BadField` names the first field that is wrong."""
+    known = {field.encode_name: field for field in msgspec.structs.fields(Submission)}
+    for name, field in known.items():
+        if name not in raw:
+            if field.required:
+                raise BadField(name, "is missing")
+            continue
+        try:
+            msgspec.convert(raw[name], field.type)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise BadField(name, str(error)) from None
+    job = msgspec.convert({name: raw[name] for name in known if name in raw}, Submission)
+    _check_ranges(job)
+    return job
+
+
+def _check_ranges(job: Submission) -> None:
+    parse_id({"nameId": job.id})
+    for name, text in (("cargo", job.job_class), ("crew", job.team), ("hull", job.image), ("harbor", job.zone)):
+        if text is not None and not 0 < len(text.encode("utf-8", "replace")) <= MAX_TEXT:
+            raise BadField(name, f"must have 1 to {MAX_TEXT} bytes")
+    if not 1 <= job.tasks <= MAX_TASKS:
+        raise BadField("hands", f"must be 1 to {MAX_TASKS}")
+    amounts = (
+        ("cores", job.cpus), ("accelerators", job.gpus), ("memGb", job.memory_gb), ("imageGb", job.image_gb),
+        ("voyageS", job.estimate_s), ("mooringS", job.checkpoint_s), ("stowS", job.save_s),
+        ("tideS", job.deadline_s),
+    )
+    for name, amount in amounts:
+        if amount is not None and not (math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT):
+            raise BadField(name, "must be a number that is not negative")
+    if job.types is not None:
+        if not 1 <= len(job.types) <= MAX_TYPES:
+            raise BadField("builds", f"must be null or name 1 to {MAX_TYPES} types")
+        if any(not 0 < len(text.encode("utf-8", "replace")) <= MAX_TEXT for text in job.types):
+            raise BadField("builds", f"each must have 1 to {MAX_TEXT} bytes")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of driftcleat; none needs the bench."""
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,82 @@
+"""What users, workers and the store send is checked field by field."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from driftcleat import wire
+from driftcleat.wire import peers
+from driftcleat.wire.users import BadField, is_job_id, parse_id, parse_object, parse_submission
+from driftcleat.wire.workers import Report, Signal, split_task, task_name
+
+from .samples import raw_job
+
+
+@pytest.mark.parametrize(("field", "value"), [
+    ("nameId", "job-1"), ("nameId", 7), ("nameId", "req-"), ("nameId", "req-1\n"), ("rig", "swarm"),
+    ("rank", "urgent"),
+    ("hands", 0), ("hands", 100_001), ("hands", 2.5), ("hands", True), ("cores", -1.0), ("cores", "4"),
+    ("accelerators", None), ("memGb", float("nan")), ("together", 1), ("builds", []), ("builds", ["g", 3]),
+    ("harbor", ""), ("hull", ""), ("voyageS", -0.5), ("tideS", "soon"), ("crew", "x" * 300),
+])
+def test_a_wrong_field_is_named(field: str, value: object) -> None:
+    with pytest.raises(BadField) as caught:
+        parse_submission(raw_job(**{field: value}))
+    assert caught.value.field == field
+
+
+def test_a_missing_field_is_named_and_unknown_ones_are_ignored() -> None:
+    for field in ("nameId", "cargo", "hands", "stowS"):
+        raw = raw_job()
+        del raw[field]
+        with pytest.raises(BadField) as caught:
+            parse_submission(raw)
+        assert caught.value.field == field
+    assert parse_submission(raw_job(colour="red")) == parse_submission(raw_job())
+    raw = raw_job()
+    for field in ("builds", "harbor", "tideS"):
+        del raw[field]
+    assert parse_submission(raw).deadline_s is None
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.binary(max_size=80) | st.recursive(
+    st.none() | st.booleans() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=6).map(lambda value: msgspec.json.encode(value)))
+def test_any_body_is_an_object_or_a_clean_error(body: bytes) -> None:
+    try:
+        raw = parse_object(body)
+        parse_id(raw)
+    except BadField as error:
+        assert error.field in ("body", "nameId")
+    else:
+        assert is_job_id(raw["nameId"])
+
+
+def test_deep_nesting_is_malformed_not_a_crash() -> None:
+    with pytest.raises(BadField):
+        parse_object(b'{"a":' + b"[" * 30_000 + b"]" * 30_000 + b"}")
+
+
+def test_names_on_the_wire() -> None:
+    report = wire.decode(
+        b'{"bollard":"vm-1","addr":"h:1","build":"g","harbor":"a","driftwood":true,"watch":1,"knot":8,"helm":4,'
+        b'"hands":[{"hand":"req-1/3","launch":2,"bearing":"exited","wreck":"done"}],"new":1}', Report)
+    assert (report.machine, report.session, report.seq, report.token) == ("vm-1", 1, 8, 4)
+    assert report.tasks[0].why == "done" and report.notice_s is None
+    assert wire.encode(Signal("kill", "req-1/3", 2, 0.0)) == \
+        b'{"signal":"kill","hand":"req-1/3","launch":2,"slackS":0.0}'
+    assert wire.encode(Signal("start", "req-1/3", 2)) == b'{"signal":"start","hand":"req-1/3","launch":2}'
+    assert split_task(task_name("req-7", 12)) == ("req-7", 12)
+    for name in ("req-7", "req-7/", "req-7/-1", "req-7/x", "/1234567"):
+        assert split_task(name) is None
+
+
+def test_controllers_talk_in_tagged_tuples() -> None:
+    text = wire.encode(peers.Forward("GET", "/v1/jobs/req-1", ""))
+    assert text == b'["forward","GET","/v1/jobs/req-1",""]'
+    assert wire.decode(text, peers.PeerMessage) == peers.Forward("GET", "/v1/jobs/req-1", "")  # type: ignore[arg-type]
+    with pytest.raises(wire.WireError):
+        wire.decode(b'["shutdown"]', peers.PeerMessage)  # type: ignore[arg-type]
