--- a/driftcleat/fleet/arrivals.py
+++ b/driftcleat/fleet/arrivals.py
@@ -2,15 +2,15 @@
 
 from driftcleat.wire.users import Submission
 
-# Arrivals count less with age: a fifth of the weight is gone after this many seconds.
-WINDOW_S = 120.0
-MIN_SPAN_S = 30.0
+# Jobs that arrive together count as at most this many: what was handed in at one go does not repeat.
+TOGETHER = 2
 
 
 class Arrivals:
-    """A sliding estimate by class."""
+    """A sliding estimate by class, over `window_s`; jobs in the same `bucket_s` arrived together."""
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float, bucket_s: float) -> None:
+        self.window_s, self.bucket_s = window_s, bucket_s
         self._seen: dict[str, list[tuple[float, int]]] = {}
         self._spec: dict[str, Submission] = {}
         self._since: float | None = None
@@ -25,11 +25,17 @@
     def rates(self, now: float) -> list[tuple[Submission, float]]:
         """Return the newest job of each class with its tasks a second."""
         out = []
-        span = min(WINDOW_S, max(MIN_SPAN_S, now - (self._since if self._since is not None else now)))
+        age = now - (self._since if self._since is not None else now)
+        span = min(self.window_s, max(self.window_s / 4, age))
         for name, seen in list(self._seen.items()):
-            seen[:] = [(at, tasks) for at, tasks in seen if at > now - WINDOW_S]
+            seen[:] = [(at, tasks) for at, tasks in seen if at > now - self.window_s]
             if not seen:
                 del self._seen[name]
                 continue
-            out.append((self._spec[name], sum(tasks for at, tasks in seen if at > now - span) / span))
+            buckets: dict[int, int] = {}
+            for at, _ in seen:
+                bucket = int(at / self.bucket_s)
+                buckets[bucket] = min(TOGETHER, buckets.get(bucket, 0) + 1)
+            mean = sum(tasks for _, tasks in seen) / len(seen)
+            out.append((self._spec[name], sum(buckets.values()) * mean / span))
         return out
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -143,6 +143,8 @@
             if now < term.place_from:
                 continue
             plan = term.plan_rentals(now)
+            if log.isEnabledFor(logging.DEBUG):
+                log.debug("fleet %s", term.summary())
             for machine in term.surplus(plan, now):
                 self._give_back(term, machine.name, f"{machine.state.value}, surplus")
             if plan.rentals:
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -9,6 +9,9 @@
 
 Offer = tuple[str, str, bool]
 
+# What stays free on a new machine is worth this part of its price: later arrivals use it.
+LEFT_OVER = 0.5
+
 
 @dataclass(slots=True)
 class Demand:
@@ -17,7 +20,15 @@
     spec: Submission
     tasks: int
     zones: dict[str, int]
-    whole: bool = False
+
+    def cost(self, types: dict[str, MachineType]) -> float:
+        """Return what a task costs an hour on the type that suits it best, if that is filled up."""
+        spec = self.spec
+        shares = [kind.price * max(spec.cpus / kind.cpus if kind.cpus else 0.0,
+                                   spec.gpus / kind.gpus if kind.gpus else 0.0,
+                                   spec.memory_gb / kind.memory_gb if kind.memory_gb else 0.0)
+                  for kind in types.values() if spec.types is None or kind.name in spec.types]
+        return min(shares, default=0.0)
 
 
 @dataclass(slots=True)
@@ -30,68 +41,74 @@
 
 def plan_fleet(demands: Iterable[Demand], rooms: list[Room], types: dict[str, MachineType],
                refused: Callable[[Offer], bool], most: int) -> Plan:
-    """Pack demands into present and booting rooms first, then into the cheapest new machines."""
+    """Pack demands into present and booting rooms first, then into the new machines they fill best."""
     plan = Plan({}, set())
-    rooms = list(rooms)
-    fresh = 0
+    left: list[Demand] = []
+    # Rooms in use first, the tightest of them first: what stays empty can be returned.
+    rooms = sorted(rooms, key=lambda room: (not room.busy, room.gpus, room.cpus, room.name))
     for demand in demands:
-        left = demand.tasks
-        counts = dict(demand.zones)
-        per_zone = spread_limit(demand.spec)
-        # Rooms in use first, the tightest of them first: what stays empty can be returned.
-        ordered = sorted(rooms, key=lambda room: (not room.busy, room.gpus, room.cpus, room.name))
-        for room in ordered:
-            if left <= 0:
-                break
-            left -= _fill(demand.spec, room, left, counts, per_zone, plan)
-        while left > 0 and fresh < most:
-            offer = cheapest(demand.spec, left, types, refused, counts, per_zone)
-            if offer is None:
+        for room in rooms:
+            if demand.tasks <= 0:
                 break
-            kind = types[offer[0]]
-            room = Room(f"new-{fresh}", kind.name, offer[1], offer[2], kind.cpus, kind.gpus, kind.memory_gb)
-            taken = _fill(demand.spec, room, left, counts, per_zone, plan)
-            if not taken:
-                break
-            fresh += 1
-            left -= taken
-            rooms.append(room)
-            plan.rentals[offer] = plan.rentals.get(offer, 0) + 1
+            taken = _fill(demand, room)
+            if taken:
+                plan.used.add(room.name)
+        if demand.tasks > 0:
+            left.append(demand)
+    for _ in range(most):
+        offer = _best_offer(left, types, refused)
+        if offer is None:
+            break
+        room = _fresh(types[offer[0]], offer)
+        for demand in left:
+            _fill(demand, room)
+        left = [demand for demand in left if demand.tasks > 0]
+        plan.rentals[offer] = plan.rentals.get(offer, 0) + 1
     return plan
 
 
-def _fill(spec: Submission, room: Room, left: int, counts: dict[str, int], per_zone: int, plan: Plan) -> int:
-    if not allowed(spec, room.type, room.zone, room.spot) or spec.id in room.avoided_by:
-        return 0
-    most = min(left, per_zone - counts.get(room.zone, 0))
-    taken = capacity(spec, room.cpus, room.gpus, room.memory_gb, most)
-    if taken <= 0:
-        return 0
-    room.take(spec, taken)
-    counts[room.zone] = counts.get(room.zone, 0) + taken
-    plan.used.add(room.name)
-    return taken
+def _fresh(kind: MachineType, offer: Offer) -> Room:
+    return Room("", kind.name, offer[1], offer[2], kind.cpus, kind.gpus, kind.memory_gb)
+
 
+def _free_share(kind: MachineType, room: Room) -> float:
+    """Return the part of a machine that is still free, by what is scarcest on it."""
+    return max(0.0, min(free / whole for free, whole in (
+        (room.cpus, kind.cpus), (room.gpus, kind.gpus), (room.memory_gb, kind.memory_gb)) if whole > 0))
 
-def cheapest(spec: Submission, tasks: int, types: dict[str, MachineType], refused: Callable[[Offer], bool],
-             counts: dict[str, int], per_zone: int) -> Offer | None:
-    """Return the offer at which these tasks cost least, or None when nothing is to be had."""
+
+def _best_offer(left: list[Demand], types: dict[str, MachineType], refused: Callable[[Offer], bool]) -> Offer | None:
+    """Return the offer that is worth most for its price, filled with what is left; None when nothing helps."""
     best: Offer | None = None
-    best_cost = (0.0, 0.0, "")
+    best_worth = 0.0
     for kind in types.values():
         for zone in kind.zones:
-            room = min(tasks, per_zone - counts.get(zone, 0))
-            each = capacity(spec, kind.cpus, kind.gpus, kind.memory_gb, room) if room > 0 else 0
-            if each <= 0:
-                continue
             for spot in (True, False):
                 offer = (kind.name, zone, spot)
-                if not allowed(spec, *offer) or refused(offer):
-                    continue
                 price = kind.spot_price if spot else kind.price
-                machines = -(-room // each)
-                # Whole machines for all of them; among equals the emptier zone, so that zones stay level.
-                cost = (machines * price / room, float(counts.get(zone, 0)), zone)
-                if best is None or cost < best_cost:
-                    best, best_cost = offer, cost
+                if refused(offer):
+                    continue
+                room = _fresh(kind, offer)
+                worth = sum(demand.cost(types) * _fill(demand, room, dry=True) for demand in left
+                            if room.gpus > 0 or room.cpus > 0)
+                if worth > 0:
+                    worth = (worth + LEFT_OVER * price * _free_share(kind, room)) / max(price, 1e-9)
+                if worth > best_worth + 1e-9:
+                    best, best_worth = offer, worth
     return best
+
+
+def _fill(demand: Demand, room: Room, dry: bool = False) -> int:
+    """Put as many of a demand's tasks into a room as fit; `dry` leaves the demand as it is."""
+    spec = demand.spec
+    if not allowed(spec, room.type, room.zone, room.spot) or spec.id in room.avoided_by:
+        return 0
+    most = min(demand.tasks, spread_limit(spec) - demand.zones.get(room.zone, 0))
+    taken = capacity(spec, room.cpus, room.gpus, room.memory_gb, most) if most > 0 else 0
+    if taken <= 0:
+        return 0
+    room.take(spec, taken)
+    if not dry:
+        demand.tasks -= taken
+        demand.zones[room.zone] = demand.zones.get(room.zone, 0) + taken
+    return taken
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -148,7 +148,10 @@
         self.gone[machine.name] = now
         for key in [key for key, name in self.ghosts.items() if name == machine.name]:
             del self.ghosts[key]
-        self.dirty.add(machine.name)
+        if machine.tasks:
+            self.dirty.add(machine.name)
+        else:
+            del self.machines[machine.name]
 
     # -- what reports prove -------------------------------------------------------------------------------
 
--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -165,7 +165,7 @@
 
     def _score(self, spec: Submission, room: Room) -> tuple[float, ...]:
         """Lower is better: image there already, spot if allowed, then what is left over."""
-        return (0.0 if spec.image in room.images else 1.0, 0.0 if room.busy else 1.0,
+        return (float(room.fetch_rank(spec.image)), 0.0 if room.busy else 1.0,
                 room.gpus - spec.gpus, room.cpus - spec.cpus, 0.0 if room.spot else 1.0)
 
 
--- a/driftcleat/placement/rooms.py
+++ b/driftcleat/placement/rooms.py
@@ -21,6 +21,8 @@
     gpus: float
     memory_gb: float
     images: Container[str] = field(default_factory=frozenset)
+    # Images that are being fetched, or will be for what this round places here: fetches share the rate.
+    fetching: set[str] = field(default_factory=set)
     avoided_by: Container[str] = field(default_factory=frozenset)
     busy: bool = False
 
@@ -30,6 +32,14 @@
         self.gpus -= spec.gpus * tasks
         self.memory_gb -= spec.memory_gb * tasks
         self.busy = True
+        if spec.image not in self.images:
+            self.fetching.add(spec.image)
+
+    def fetch_rank(self, image: str) -> int:
+        """0: the image is there or on its way; otherwise one more than the fetches it would share with."""
+        if image in self.fetching or image in self.images:
+            return 0
+        return 1 + len(self.fetching)
 
     def give(self, spec: Submission, tasks: int = 1) -> None:
         """Undo `take`."""
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -21,7 +21,7 @@
     drift: float = _ratio("leadership", 0.002, 0.0005, 0.1, "part of a lease given up for clock drift")
     hold: float = _ratio("leadership", 2.0, 0.0, 20.0, "longest unsure time, of the worker lease")
     deaf: float = _ratio("leadership", 0.45, 0.1, 2.0, "time with no report at all, of the worker lease")
-    sample: float = _ratio("placement", 3, 1, 1000, "machines looked at first for a place")
+    sample: float = _ratio("placement", 64, 1, 1000, "machines looked at first for a place")
     budget: float = _ratio("placement", 0.01, 0.0005, 0.2, "time of one round, of the report interval")
     scan: float = _ratio("placement", 1.67, 0.2, 20.0, "pause between scans, of the report interval")
     answer: float = _ratio("placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, "
@@ -29,10 +29,11 @@
     lost: float = _ratio("fleet", 1.0, 0.5, 10.0, "silence until a machine is given up, of the worker lease")
     fence: float = _ratio("fleet", 0.35, 0.1, 0.8, "time until a machine that keeps a cancelled task is "
                                                    "returned, of the time a cancellation has")
-    idle: float = _ratio("fleet", 1.5, 0.0, 100.0, "idle time until a machine is returned, of its boot time")
+    idle: float = _ratio("fleet", 0.8, 0.0, 100.0, "idle time until a machine is returned, of its boot time")
     late: float = _ratio("fleet", 2.2, 1.0, 20.0, "boot time until a machine is replaced, of its usual one")
-    headroom: float = _ratio("fleet", 1.0, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
+    headroom: float = _ratio("fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
                                                       "machine boots")
+    window: float = _ratio("fleet", 40.0, 5.0, 1000.0, "time over which arrivals are counted, of the report interval")
     queue: float = _ratio("api", 4.0, 0.1, 100.0, "submissions waiting at most, of the changes a second")
     retry: float = _ratio("api", 0.34, 0.1, 10.0, "Retry-After, of the report interval")
 
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -20,6 +20,7 @@
 from driftcleat.store.records import RENTALS, Layout, RentalRecord
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import JobView, Kind, Submission
+from driftcleat.wire.workers import FETCHING
 
 log = logging.getLogger(__name__)
 
@@ -79,7 +80,7 @@
         self.urgent: set[str] = set()
         self.in_flight: set[str] = set()
         self.ended: OrderedDict[str, JobView] = OrderedDict()
-        self.arrivals = Arrivals()
+        self.arrivals = Arrivals(platform.report_s * tuning.window, platform.report_s)
         self.counters = Counters()
         self.room_changed = True
         self.place_again_at = 0.0
@@ -281,7 +282,7 @@
     def rooms(self, now: float) -> list[Room]:
         """Return the rooms of machines that lately reported and take tasks."""
         fresh = now - self.platform.report_s * 2.0
-        return [_room(machine) for machine in self.cluster.machines.values()
+        return [_room(machine, self.cluster.jobs) for machine in self.cluster.machines.values()
                 if machine.state is MachineState.UP and machine.type is not None and machine.heard_at >= fresh
                 and machine.full_until <= now]
 
@@ -441,7 +442,7 @@
             limit.take(job.spec, wanted)
             demands.append(Demand(job.spec, wanted, job.zone_counts()))
         demands.extend(self.expected(now))
-        rooms = [_room(machine) for machine in self.cluster.machines.values()
+        rooms = [_room(machine, self.cluster.jobs) for machine in self.cluster.machines.values()
                  if machine.state in (MachineState.UP, MachineState.BOOTING) and machine.type is not None]
         for rental in [*self.open_rentals.values(), *self.new_rentals]:
             record = rental.record
@@ -466,6 +467,23 @@
                 out.append(Demand(spec, tasks, {}))
         return out
 
+    def summary(self) -> str:
+        """Return machines by type and use, and queued tasks by class, for the log."""
+        rows: dict[str, list[int]] = {}
+        for machine in self.cluster.machines.values():
+            name = f"{machine.type.name if machine.type else '?'}{'*' if machine.spot else ''}"
+            row = rows.setdefault(name, [0, 0, 0, 0])
+            row[0] += 1
+            row[1] += machine.state is MachineState.BOOTING
+            row[2] += not machine.tasks
+            row[3] += round(machine.type.gpus - machine.gpus) if machine.type else 0
+        queued: dict[str, int] = {}
+        for job in self.cluster.jobs.values():
+            queued[job.spec.job_class] = queued.get(job.spec.job_class, 0) + job.queued
+        text = ", ".join(f"{name}: {row[0]} ({row[1]} booting, {row[2]} empty, {row[3]} free gpus)"
+                         for name, row in sorted(rows.items()))
+        return f"{text}; queued {queued}"
+
     def note_refusal(self, offer: Offer, now: float) -> None:
         """The cloud has none of this offer: ask again later, and later still if it goes on."""
         pause = self.refused.get(offer, (0.0, 0.0))[1]
@@ -534,12 +552,14 @@
             and (gpus <= 0 or spec.gpus > 0 or cpus > 0))
 
 
-def _room(machine: Machine) -> Room:
+def _room(machine: Machine, jobs: dict[str, Job]) -> Room:
     kind = machine.type
     assert kind is not None
+    fetching = {jobs[job_id].spec.image for job_id, index in machine.tasks
+                if job_id in jobs and machine.phases.get((job_id, index), FETCHING) == FETCHING}
     return Room(machine.name, kind.name, machine.zone, machine.spot, kind.cpus - machine.cpus,
-                kind.gpus - machine.gpus, kind.memory_gb - machine.memory_gb, machine.images, machine.failed_jobs,
-                bool(machine.tasks))
+                kind.gpus - machine.gpus, kind.memory_gb - machine.memory_gb, machine.images, fetching,
+                machine.failed_jobs, bool(machine.tasks))
 
 
 def never_fits(spec: Submission, types: dict[str, MachineType], platform: Platform) -> str | None:
