--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -128,8 +128,9 @@
                 place = machine.tasks.get(split)
                 if place is None or place.attempt != task.attempt:
                     self.ghosts[split] = machine.name
-                else:
+                elif machine.phases.get(split) != task.state:
                     machine.phases[split] = task.state
+                    log.debug("task %s on %s: %s", task.task, machine.name, task.state)
         machine.reported = reported
         for key in [key for key, name in self.ghosts.items() if name == machine.name and key not in live]:
             del self.ghosts[key]
@@ -224,6 +225,7 @@
             elif why == wire_workers.NO_ROOM:
                 # Our sums and the worker's differ: let it report again before it gets more.
                 machine.full_until = max(machine.full_until, now + 2.0)
+        log.debug("task %s/%d left %s: %s", job.id, index, machine.name, why)
         self.on_exit(machine, job, why)
 
     def _count_failure(self, machine: Machine, job: Job, now: float, blame: bool) -> None:
--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -56,9 +56,14 @@
         self.by_name = {room.name: room for room in self.rooms}
         self.sample, self.rng, self.blocked = max(1, sample), rng, blocked
         self.hopeless: set[Shape] = set()
+        self.share_fetch = True
 
-    def place(self, job: Job, limits: Limits, most: int) -> list[tuple[int, Room]]:
-        """Return places for queued tasks of a job; the rooms and limits are used up by them."""
+    def place(self, job: Job, limits: Limits, most: int, share_fetch: bool = True) -> list[tuple[int, Room]]:
+        """Return places for queued tasks of a job; the rooms and limits are used up by them.
+
+        Without `share_fetch`, machines that fetch another image are left out.
+        """
+        self.share_fetch = share_fetch
         if job.is_gang:
             return self._place_gang(job, limits)
         return self._place_some(job, limits, min(most, job.queued))
@@ -150,7 +155,8 @@
                 continue
             if not allowed(spec, room.type, room.zone, room.spot) or (zone is not None and room.zone != zone):
                 continue
-            if spec.id in room.avoided_by or not also(room):
+            if spec.id in room.avoided_by or not also(room) or (
+                    not self.share_fetch and room.fetch_rank(spec.image) > 1):
                 refused = True
                 continue
             score = self._score(spec, room)
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -183,6 +183,7 @@
                     return
                 batch.create(job)
                 self.arrivals.note(spec, now)
+                log.debug("job %s (%s) accepted: %d tasks", spec.id, spec.job_class, spec.tasks)
                 self.room_changed = True
             self.submissions.popleft()
             batch.after.append(self._answer_later(ticket, spec.id))
@@ -338,16 +339,31 @@
         if job.is_gang and job.queued > most:
             self.room_changed = True
             return
-        placed = work.place(job, limit, most)
+        placed = work.place(job, limit, most, not self._better_waits(job, now))
         if placed:
             attempt = batch.launch(job.id)
             for index, room in placed:
                 batch.move(job.id, index, TaskState.PLACED, Place(room.name, room.zone, attempt))
             self.counters.placed += len(placed)
+            log.debug("job %s (%s, image %s of %.1f GB) attempt %d: %s", job.id, job.spec.job_class, job.spec.image,
+                      job.spec.image_gb, attempt, ", ".join(f"{index} on {room.name}" for index, room in placed[:8]))
             self.claims.pop(job.id, None)
         elif job.queued and limit.fits(job.spec, job.queued if job.is_gang else 1):
             self._preempt_for(batch, job, work, guaranteed, now)
 
+    def _better_waits(self, job: Job, now: float) -> bool:
+        """Whether a machine that boots is likely better than one that fetches another image: fetches share
+        a machine's rate, so images that are mixed on one machine all come late."""
+        spec = job.spec
+        for machine in self.cluster.machines.values():
+            kind = machine.type
+            if (machine.state is MachineState.BOOTING and kind is not None
+                    and now - machine.rented_at < kind.boot_s * self.tuning.late
+                    and allowed(spec, kind.name, machine.zone, machine.spot)
+                    and fits(spec, kind.cpus, kind.gpus, kind.memory_gb)):
+                return self.wall() - job.submitted < kind.boot_s * self.tuning.patience
+        return False
+
     def _batch_most(self, batch: Batch, job: Job) -> int:
         """Return how many tasks of a job this batch can still place."""
         chunk = self.layout.chunk_tasks(job)
