--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -23,11 +23,13 @@
     CHUNKS,
     JOBS,
     LEADER,
+    MACHINES,
     RENTALS,
     TYPES,
     BatchMark,
     EncodedBatch,
     Layout,
+    MachineRecord,
     RentalRecord,
     TooLarge,
     encode_batch,
@@ -130,13 +132,16 @@
 
     async def _rebuild(self, token: int) -> None:
         """Read all records; from now on the picture in memory is the truth's copy."""
-        heads, chunks, rentals, types, mark = await asyncio.gather(
+        heads, chunks, rentals, machines, types, mark = await asyncio.gather(
             self.store.read_all(JOBS), self.store.read_all(CHUNKS), self.store.read_all(RENTALS),
-            self.store.get(TYPES), self.store.get(BATCH))
+            self.store.read_all(MACHINES), self.store.get(TYPES), self.store.get(BATCH))
         jobs, orphans = load_jobs(heads, chunks)
         known = wire.decode(bytes(types.value), tuple[MachineType, ...]) if types is not None else ()
         cluster = Cluster(token, jobs, {kind.name: kind for kind in known}, self.clock())
-        term = Term(self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall)
+        term = Term(self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall,
+                    brand_new=mark is None)
+        for item in machines:
+            term.restore_images(item.key[len(MACHINES):], wire.decode(bytes(item.value), MachineRecord))
         term.garbage.extend(orphans)
         for item in rentals:
             name = item.key[len(RENTALS):]
@@ -200,6 +205,7 @@
     def _announce_commit(self) -> None:
         self.committed.set()
         self.committed = asyncio.Event()
+        self.keeper.wake.set()
 
     async def _commit(self, term: Term, encoded: EncodedBatch) -> int:
         """Have the store take a batch; resend or read back until its outcome is known."""
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -32,6 +32,7 @@
         self.listed: set[str] = set()
         self.missing: dict[str, float] = {}
         self.greeted = False
+        self.wake = asyncio.Event()
 
     def reset(self, types_stored: bool) -> None:
         """A new term begins."""
@@ -118,6 +119,9 @@
             if now - term.cluster.started_at > self.platform.lease_s:
                 zone = next(iter(term.cluster.waiting[name].values())).zone
                 term.cluster.adopt(name, "", zone, False, "", now)
+        if now - term.cluster.started_at > self.platform.lease_s + self.platform.list_lag_s * 2:
+            for name in [name for name in term.cluster.known_images if name not in names]:
+                term.forget_images(name)
         for machine in term.cluster.machines.values():
             if machine.name in names or machine.state is not MachineState.BOOTING:
                 continue
@@ -129,6 +133,11 @@
     async def _size_loop(self) -> None:
         while True:
             await asyncio.sleep(self.platform.report_s / 4)
+            try:
+                await asyncio.wait_for(self.wake.wait(), self.platform.report_s / 4)
+            except TimeoutError:
+                pass
+            self.wake.clear()
             term = self._term()
             if term is None or not term.cluster.types:
                 continue
@@ -193,6 +202,7 @@
                 term.note_refusal((record.type, record.zone, record.spot), self.clock())
             term.settle_rental(rental, machines, self.clock())
             self.controller.kick()
+            self.wake.set()
 
     async def _return_loop(self) -> None:
         while True:
@@ -212,6 +222,7 @@
             for name in names:
                 self.returning.discard(name)
                 machine = term.cluster.machines.get(name)
+                term.forget_images(name)
                 if machine is not None:
                     term.cluster.forget_machine(machine, self.clock())
                     term.counters.returned += 1
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -58,6 +58,8 @@
         self.rejected = 0
         # Tasks of machines that have not reported in this term, by machine name.
         self.waiting: dict[str, dict[tuple[str, int], Place]] = {}
+        # Images that machines had under earlier leaders, until they report.
+        self.known_images: dict[str, list[tuple[str, float]]] = {}
         self.on_exit: Callable[[Machine, Job, str], None] = lambda machine, job, why: None
         for job in jobs.values():
             usage = self.usage.setdefault(job.spec.team, Usage())
@@ -74,6 +76,8 @@
         if machine is None:
             machine = Machine(name, self.types.get(type_name), zone, spot, addr, now)
             self.machines[name] = machine
+            for image, size_gb in self.known_images.pop(name, ()):
+                machine.note_image(image, size_gb)
             for key, place in self.waiting.pop(name, {}).items():
                 job = self.jobs.get(key[0])
                 if job is not None and job.places.get(key[1]) == place:
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -18,6 +18,7 @@
 CHUNKS = ROOT + "chunks/"
 ENDED = ROOT + "ended/"
 RENTALS = ROOT + "rentals/"
+MACHINES = ROOT + "machines/"
 
 PlaceRow = tuple[str, str, int, str, float | None]
 
@@ -58,6 +59,12 @@
     at: float
 
 
+class MachineRecord(msgspec.Struct, array_like=True):
+    """The images a machine has fetched, least recently used first; only a hint for placement."""
+
+    images: list[tuple[str, float]]
+
+
 class BatchMark(msgspec.Struct, array_like=True):
     """Names the last batch, so that an unknown outcome can be read back."""
 
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -17,7 +17,7 @@
 from driftcleat.placement.engine import Limits, PlacementRound, Victim, plan_preemption
 from driftcleat.placement.rooms import Room, allowed, capacity, fits
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.records import RENTALS, Layout, RentalRecord
+from driftcleat.store.records import MACHINES, RENTALS, Layout, MachineRecord, RentalRecord
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import JobView, Kind, Submission
 from driftcleat.wire.workers import FETCHING
@@ -63,11 +63,12 @@
     """The decisions of one term."""
 
     def __init__(self, platform: Platform, tuning: Tuning, cluster: Cluster, layout: Layout, rng: random.Random,
-                 clock: Callable[[], float], wall: Callable[[], float]) -> None:
+                 clock: Callable[[], float], wall: Callable[[], float], brand_new: bool = False) -> None:
         self.platform, self.tuning, self.cluster, self.layout = platform, tuning, cluster, layout
         self.rng, self.clock, self.wall = rng, clock, wall
         now = clock()
-        self.place_from = now + platform.report_s * 1.25
+        # Workers report before places are given. A store that never held a batch has no workers yet.
+        self.place_from = now if brand_new else now + platform.report_s * 1.25
         self.submissions: deque[Ticket] = deque()
         self.cancels: deque[Ticket] = deque()
         self.garbage: list[str] = []
@@ -75,6 +76,7 @@
         self.new_rentals: list[OpenRental] = []
         self.settled_rentals: list[str] = []
         self.notes: dict[str, object] = {}
+        self.image_notes: dict[str, tuple[str, ...]] = {}
         self.rental_number = 0
         self.refused: dict[Offer, tuple[float, float]] = {}
         self.urgent: set[str] = set()
@@ -134,6 +136,8 @@
             self._place(batch, now)
         while self.garbage and batch.room_extra():
             batch.remove(self.garbage.pop())
+        while self.notes and batch.room_extra():
+            batch.put(*self.notes.popitem())
         self.in_flight = {place.machine for _, _, _, place in batch.moves if place is not None}
         return batch
 
@@ -156,11 +160,35 @@
             if new is not None and new.stop is not None and old is not None:
                 self.urgent.add(new.machine)
         self.garbage.extend(garbage)
+        for name in self.in_flight:
+            self._note_images(name)
         self.in_flight = set()
         self.counters.batches += 1
         for call in batch.after:
             call()
 
+    def _note_images(self, name: str) -> None:
+        """Keep what a machine has cached: a new leader would otherwise fetch it all again elsewhere."""
+        machine = self.cluster.machines.get(name)
+        if machine is None:
+            return
+        images = tuple(sorted(machine.images))
+        if images != self.image_notes.get(name):
+            self.image_notes[name] = images
+            self.notes[MACHINES + name] = MachineRecord(list(machine.images.items()))
+
+    def forget_images(self, name: str) -> None:
+        """A machine is gone; so is what it had cached."""
+        self.cluster.known_images.pop(name, None)
+        self.notes.pop(MACHINES + name, None)
+        if self.image_notes.pop(name, None) is not None:
+            self.garbage.append(MACHINES + name)
+
+    def restore_images(self, name: str, record: MachineRecord) -> None:
+        """A machine's images as an earlier leader noted them."""
+        self.cluster.known_images[name] = record.images
+        self.image_notes[name] = tuple(sorted(image for image, _ in record.images))
+
     def _take_cancels(self, batch: Batch) -> None:
         while self.cancels:
             ticket = self.cancels[0]
@@ -233,8 +261,6 @@
         return True
 
     def _take_rentals(self, batch: Batch) -> None:
-        while self.notes and batch.room_extra():
-            batch.put(*self.notes.popitem())
         while self.settled_rentals and batch.room_extra():
             batch.remove(RENTALS + self.settled_rentals.pop())
         while self.new_rentals and batch.room_extra():
