--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -44,10 +44,11 @@
     """Pack demands into present and booting rooms first, then into the new machines they fill best."""
     plan = Plan({}, set())
     left: list[Demand] = []
-    # Rooms in use first, the tightest of them first: what stays empty can be returned.
-    rooms = sorted(rooms, key=lambda room: (not room.busy, room.gpus, room.cpus, room.name))
     for demand in demands:
-        for room in rooms:
+        # Rooms in use first, where a task costs least, the tightest first: what stays empty can be returned.
+        spec = demand.spec
+        for room in sorted(rooms, key=lambda room, spec=spec: (  # type: ignore[misc]
+                not room.busy, room.share_cost(spec), room.gpus, room.cpus, room.name)):
             if demand.tasks <= 0:
                 break
             taken = _fill(demand, room)
--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -170,9 +170,9 @@
         return best
 
     def _score(self, spec: Submission, room: Room) -> tuple[float, ...]:
-        """Lower is better: image there already, spot if allowed, then what is left over."""
-        return (float(room.fetch_rank(spec.image)), 0.0 if room.busy else 1.0,
-                room.gpus - spec.gpus, room.cpus - spec.cpus, 0.0 if room.spot else 1.0)
+        """Lower is better: image there already, machine in use, what the place is worth, what is left over."""
+        return (float(room.fetch_rank(spec.image)), room.share_cost(spec), 0.0 if room.busy else 1.0,
+                room.gpus - spec.gpus, room.cpus - spec.cpus)
 
 
 def plan_preemption(spec: Submission, rooms: Iterable[Room], victims_of: Callable[[str], list[Victim]],
--- a/driftcleat/placement/rooms.py
+++ b/driftcleat/placement/rooms.py
@@ -25,6 +25,13 @@
     fetching: set[str] = field(default_factory=set)
     avoided_by: Container[str] = field(default_factory=frozenset)
     busy: bool = False
+    price: float = 0.0
+    whole: tuple[float, float, float] = (0.0, 0.0, 0.0)
+
+    def share_cost(self, spec: Submission) -> float:
+        """Return the part of the machine's price that a task takes, by what it takes most of."""
+        return self.price * max((need / all_of_it for need, all_of_it in zip(
+            (spec.cpus, spec.gpus, spec.memory_gb), self.whole, strict=True) if all_of_it > 0), default=0.0)
 
     def take(self, spec: Submission, tasks: int = 1) -> None:
         """Use up what tasks need."""
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -601,7 +601,8 @@
                 if job_id in jobs and machine.phases.get((job_id, index), FETCHING) == FETCHING}
     return Room(machine.name, kind.name, machine.zone, machine.spot, kind.cpus - machine.cpus,
                 kind.gpus - machine.gpus, kind.memory_gb - machine.memory_gb, machine.images, fetching,
-                machine.failed_jobs, bool(machine.tasks))
+                machine.failed_jobs, bool(machine.tasks), kind.spot_price if machine.spot else kind.price,
+                (kind.cpus, kind.gpus, kind.memory_gb))
 
 
 def never_fits(spec: Submission, types: dict[str, MachineType], platform: Platform) -> str | None:
