The core against a hostile world and a plain model; one-zone jobs are sized in one zone

Found by the model: a one-zone gang waited for ever when sizing counted rooms of two zones for it; tasks on machines that never report to a new leader were proven gone only after a list was read.

--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -7,7 +7,7 @@
 
 from driftcleat import wire
 from driftcleat.fleet.cloud import CloudError, NoCapacity
-from driftcleat.model import MachineState, change_machine
+from driftcleat.model import Machine, MachineState, change_machine
 from driftcleat.store.records import TYPES
 from driftcleat.term import OpenRental, Term
 from driftcleat.wire.cloud import Listed, RentRequest
@@ -107,18 +107,13 @@
             if not machine.addr:
                 machine.addr = entry.addr
             if entry.state == "failed":
-                self._give_back(term, entry.name, "failed")
+                self._give_back(term, machine, "failed")
             elif not self.greeted and machine.report is None and entry.addr and entry.state == "running":
                 greet.append(entry.addr)
         if not self.greeted:
             self.greeted = True
             for addr in greet:
                 self.controller.spawn(self.controller.raise_token(addr))
-        for name in list(term.cluster.waiting):
-            # Tasks on a machine that neither reports nor is listed: only the cloud can prove them gone.
-            if now - term.cluster.started_at > self.platform.lease_s:
-                zone = next(iter(term.cluster.waiting[name].values())).zone
-                term.cluster.adopt(name, "", zone, False, "", now)
         if now - term.cluster.started_at > self.platform.lease_s + self.platform.list_lag_s * 2:
             for name in [name for name in term.cluster.known_images if name not in names]:
                 term.forget_images(name)
@@ -128,7 +123,7 @@
             since = self.missing.setdefault(machine.name, now)
             # The list may be twice its lag late; what is missing for longer was lost before it came up.
             if now - since > self.platform.list_lag_s * 3 + self.platform.report_s:
-                self._give_back(term, machine.name, "not listed")
+                self._give_back(term, machine, "not listed")
 
     async def _size_loop(self) -> None:
         while True:
@@ -143,19 +138,16 @@
                 continue
             now = self.clock()
             for name in term.fenced():
-                machine = term.cluster.machines.get(name)
-                if machine is None:
-                    zone = next(iter(term.cluster.waiting[name].values())).zone if name in term.cluster.waiting \
-                        else ""
-                    term.cluster.adopt(name, "", zone, False, "", now)
-                self._give_back(term, name, "keeps a cancelled task")
+                self._give_back(term, term.known_machine(name, now), "keeps a cancelled task")
+            for name in term.unheard(now):
+                self._give_back(term, term.known_machine(name, now), "not heard of")
             if now < term.place_from:
                 continue
             plan = term.plan_rentals(now)
             if log.isEnabledFor(logging.DEBUG):
                 log.debug("fleet %s", term.summary())
             for machine in term.surplus(plan, now):
-                self._give_back(term, machine.name, f"{machine.state.value}, surplus")
+                self._give_back(term, machine, f"{machine.state.value}, surplus")
             if plan.rentals:
                 log.info("renting %s", plan.rentals)
                 term.rent(plan)
@@ -166,13 +158,12 @@
                 self.heard_at = now
                 self.controller.election.ask_resign("no worker reports to us")
 
-    def _give_back(self, term: Term, name: str, why: str) -> None:
-        machine = term.cluster.machines.get(name)
-        if machine is None or machine.state in (MachineState.RETURNING, MachineState.GONE):
+    def _give_back(self, term: Term, machine: Machine, why: str) -> None:
+        if machine.state in (MachineState.RETURNING, MachineState.GONE):
             return
-        log.info("returning %s: %s", name, why)
+        log.info("returning %s: %s", machine.name, why)
         change_machine(machine, MachineState.RETURNING)
-        self.returning.add(name)
+        self.returning.add(machine.name)
 
     async def _rent_loop(self) -> None:
         while True:
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -20,6 +20,8 @@
     spec: Submission
     tasks: int
     zones: dict[str, int]
+    # Set once it is decided in which zone a job that wants only one shall be.
+    only: str | None = None
 
     def cost(self, types: dict[str, MachineType]) -> float:
         """Return what a task costs an hour on the type that suits it best, if that is filled up."""
@@ -47,6 +49,8 @@
     for demand in demands:
         # Rooms in use first, where a task costs least, the tightest first: what stays empty can be returned.
         spec = demand.spec
+        if spec.one_zone:
+            demand.only = _one_zone(demand, rooms, types, refused)
         for room in sorted(rooms, key=lambda room, spec=spec: (  # type: ignore[misc]
                 not room.busy, room.share_cost(spec), room.gpus, room.cpus, room.name)):
             if demand.tasks <= 0:
@@ -68,6 +72,29 @@
     return plan
 
 
+def _one_zone(demand: Demand, rooms: list[Room], types: dict[str, MachineType],
+              refused: Callable[[Offer], bool]) -> str | None:
+    """Return the zone where a one-zone job lacks least, of those where what it lacks can be had.
+
+    Guards against counting rooms of two zones for a job that may use only one: it then waited for ever.
+    """
+    spec = demand.spec
+    if demand.zones:
+        return next(iter(demand.zones))
+    zones = sorted({zone for kind in types.values() for zone in kind.zones} | {room.zone for room in rooms})
+    best: tuple[int, str] | None = None
+    for zone in zones:
+        have = sum(capacity(spec, room.cpus, room.gpus, room.memory_gb, demand.tasks) for room in rooms
+                   if room.zone == zone and allowed(spec, room.type, zone, room.spot))
+        lacking = max(0, demand.tasks - have)
+        to_be_had = any(zone in kind.zones and allowed(spec, kind.name, zone, spot)
+                        and capacity(spec, kind.cpus, kind.gpus, kind.memory_gb, 1)
+                        and not refused((kind.name, zone, spot)) for kind in types.values() for spot in (True, False))
+        if (lacking == 0 or to_be_had) and (best is None or (lacking, zone) < best):
+            best = (lacking, zone)
+    return best[1] if best is not None else None
+
+
 def _fresh(kind: MachineType, offer: Offer) -> Room:
     return Room("", kind.name, offer[1], offer[2], kind.cpus, kind.gpus, kind.memory_gb)
 
@@ -104,6 +131,8 @@
     spec = demand.spec
     if not allowed(spec, room.type, room.zone, room.spot) or spec.id in room.avoided_by:
         return 0
+    if demand.only is not None and room.zone != demand.only:
+        return 0
     most = min(demand.tasks, spread_limit(spec) - demand.zones.get(room.zone, 0))
     taken = capacity(spec, room.cpus, room.gpus, room.memory_gb, most) if most > 0 else 0
     if taken <= 0:
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -575,6 +575,18 @@
                 out.append(machine)
         return out
 
+    def unheard(self, now: float) -> set[str]:
+        """Return machines that hold tasks but have not been heard of in this term: only their return proves
+        the tasks gone."""
+        if now - self.cluster.started_at <= self.platform.lease_s * self.tuning.lost:
+            return set()
+        return set(self.cluster.waiting)
+
+    def known_machine(self, name: str, now: float) -> Machine:
+        """Return a machine by name, also one that only the records know."""
+        zone = next((place.zone for place in self.cluster.waiting.get(name, {}).values()), "")
+        return self.cluster.machines.get(name) or self.cluster.adopt(name, "", zone, False, "", now)
+
     def fenced(self) -> set[str]:
         """Return machines that still may hold a cancelled task and must be gone before its time is up."""
         names: set[str] = set()
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,536 @@
+"""A small world against which the deciding core is run: workers, cloud, store, and a plain model of the rules.
+
+Everything is slow and simple on purpose. Messages may be lost, held back, repeated and delivered in any
+order; the model watches what tasks do on machines and raises `RuleBroken` at once.
+"""
+
+import json
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from driftcleat import wire
+from driftcleat.model import Cluster, JobState
+from driftcleat.settings import Platform, Tuning
+from driftcleat.store.records import (
+    BATCH,
+    CHUNKS,
+    ENDED,
+    JOBS,
+    LEADER,
+    RENTALS,
+    BatchMark,
+    EncodedBatch,
+    Layout,
+    RentalRecord,
+    encode_batch,
+    load_jobs,
+)
+from driftcleat.term import OpenRental, Term, Ticket
+from driftcleat.wire import state as state_messages
+from driftcleat.wire.cloud import MachineType
+from driftcleat.wire.users import JobView, Kind, Submission
+from driftcleat.wire.workers import Report, Signal, TaskReport, split_task
+
+
+class RuleBroken(AssertionError):
+    """One of the protocol's rules does not hold."""
+
+
+class PlainStore:
+    """The state service as a dictionary: versions, conditions, limits."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.platform = platform
+        self.data: dict[str, tuple[Any, int]] = {}
+        self.revision = 0
+
+    def txn(self, body: bytes) -> int | None:
+        """Carry out a transaction as it came over the wire; None if a condition fails."""
+        assert len(body) <= 64 * 1024
+        raw = json.loads(body)
+        assert len(raw["then"]) <= self.platform.txn_ops and len(raw["if"]) <= 4 * self.platform.txn_ops
+        for condition in raw["if"]:
+            if self.data.get(condition["key"], (None, 0))[1] != condition["entry"]:
+                return None
+        self.revision += 1
+        for change in raw["then"]:
+            if "put" in change:
+                assert len(json.dumps(change["v"], separators=(",", ":"))) <= self.platform.value_bytes
+                self.data[change["put"]] = (change["v"], self.revision)
+            else:
+                self.data.pop(change["remove"], None)
+        return self.revision
+
+    def put_leader(self, label: str) -> int:
+        """Make somebody leader (its lease is not played here); return the token."""
+        self.revision += 1
+        self.data[LEADER] = ([label, "x"], self.revision)
+        return self.revision
+
+    def items(self, prefix: str) -> list[state_messages.Item]:
+        """Return the items under a prefix."""
+        return [state_messages.Item(wire.encode(value), version, key)  # type: ignore[arg-type]
+                for key, (value, version) in sorted(self.data.items()) if key.startswith(prefix)]
+
+
+@dataclass
+class Running:
+    """A task on a worker."""
+
+    job: Submission
+    index: int
+    attempt: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+    until: float = 0.0
+
+
+class PlainWorker:
+    """A worker as the protocol describes it."""
+
+    def __init__(self, world: "World", name: str, kind: MachineType, zone: str, spot: bool) -> None:
+        self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
+        self.session, self.seq, self.token = 1, 0, 0
+        self.tasks: dict[tuple[str, int, int], Running] = {}
+        self.leased_at = world.now
+        self.gone = self.hung = self.cut = self.sick = False
+        self.next_report = world.now
+        self.waiting_answer: float | None = None
+
+    def report(self) -> Report:
+        """Return the newest report."""
+        self.seq += 1
+        return Report(self.name, f"{self.name}:1", self.kind.name, self.zone, self.spot, self.session, self.seq,
+                      self.token, tuple(TaskReport(f"{task.job.id}/{task.index}", task.attempt, task.state, task.why,
+                                                   task.saved or None) for task in self.tasks.values()))
+
+    def answer(self, session: int, seq: int, token: int, signals: list[Signal], sent_at: float) -> None:
+        """Take the answer to a report, unless it comes too late or from a leader of before."""
+        if self.gone or session != self.session or self.waiting_answer != sent_at or self.world.now > sent_at + 4:
+            return
+        self.waiting_answer = None
+        if token < self.token:
+            return
+        self.token = token
+        self.leased_at = sent_at
+        self.carry_out(signals)
+
+    def direct(self, token: int, session: int, signals: list[Signal]) -> None:
+        """Take commands sent straight here, however late."""
+        if self.gone or token < self.token or session != self.session:
+            return
+        self.token = token
+        self.carry_out(signals)
+
+    def carry_out(self, signals: list[Signal]) -> None:
+        """Execute commands in order."""
+        for signal in signals:
+            split = split_task(signal.task)
+            assert split is not None
+            key = (*split, signal.attempt)
+            task = self.tasks.get(key)
+            if signal.op == "start" and task is None:
+                self.start(key)
+            elif signal.op == "kill" and task is not None and task.state != "exited":
+                if task.state == "running" and task.job.checkpoint_s > 0 and (signal.grace_s or 0) >= task.job.save_s:
+                    task.state, task.until = "saving", self.world.now + task.job.save_s
+                elif not (task.state == "saving" and signal.grace_s):
+                    self.leave(task, "stopped")
+            elif signal.op == "forget" and task is not None and task.state == "exited":
+                del self.tasks[key]
+
+    def start(self, key: tuple[str, int, int]) -> None:
+        """Start a task, or refuse it."""
+        job = self.world.specs[key[0]]
+        task = Running(job, key[1], key[2], "running")
+        self.tasks[key] = task
+        live = [other for other in self.tasks.values() if other.state != "exited" and other is not task]
+        if any(other.job.id == job.id and other.index == key[1] for other in live):
+            task.state, task.why = "exited", "busy"
+        elif (sum(other.job.cpus for other in live) + job.cpus > self.kind.cpus + 1e-6
+              or sum(other.job.gpus for other in live) + job.gpus > self.kind.gpus + 1e-6):
+            task.state, task.why = "exited", "no_room"
+        else:
+            self.world.check_start(self, task)
+            task.until = self.world.now + job.estimate_s * self.world.rng.uniform(0.3, 1.5)
+
+    def leave(self, task: Running, why: str) -> None:
+        """A task exits; what is left of its gang notices."""
+        task.state, task.why = "exited", why
+        if why == "done":
+            self.world.finished.add((task.job.id, task.index))
+        if task.job.kind is Kind.GANG:
+            for other in self.world.on_machines():
+                if other[1].job.id == task.job.id and other[1].attempt == task.attempt:
+                    other[0].leave_quietly(other[1], "done" if why == "done" else "mates_gone")
+
+    def leave_quietly(self, task: Running, why: str) -> None:
+        """A gang's task follows the others."""
+        task.state, task.why = "exited", why
+        if why == "done":
+            self.world.finished.add((task.job.id, task.index))
+
+    def step(self) -> None:
+        """Let time pass: leases run out, tasks end, reports go out."""
+        now = self.world.now
+        if self.gone or self.hung:
+            return
+        if now - self.leased_at > self.world.platform.lease_s:
+            self.tasks.clear()
+            self.session += 1
+            self.leased_at, self.waiting_answer = now, None
+        for task in list(self.tasks.values()):
+            if task.state == "saving" and now >= task.until:
+                task.saved = True
+                self.leave(task, "stopped")
+            elif task.state == "running" and now >= task.until and task.job.kind is not Kind.SERVICE:
+                self.leave(task, "error" if self.sick else "done")
+        if self.waiting_answer is not None and now > self.waiting_answer + 4:
+            self.waiting_answer, self.next_report = None, now + 1
+        if self.waiting_answer is None and now >= self.next_report:
+            self.waiting_answer = now
+            self.next_report = now + self.world.platform.report_s * self.world.rng.uniform(0.75, 1.25)
+            self.world.send_report(self, self.report(), now)
+
+
+@dataclass
+class Leader:
+    """A controller that believes to lead."""
+
+    term: Term
+    mark_version: int
+    number: int = 0
+    silent: bool = False
+    in_flight: tuple[Any, EncodedBatch] | None = None
+    stepped_down: bool = False
+
+
+@dataclass(order=True)
+class Message:
+    """Something on its way."""
+
+    at: float
+    order: int
+    deliver: Any = field(compare=False)
+
+
+class World:
+    """All of it, with a clock of its own."""
+
+    def __init__(self, seed: int, platform: Platform, types: dict[str, MachineType]) -> None:
+        self.rng = random.Random(seed)
+        self.platform, self.types = platform, types
+        self.now = 100.0
+        self.store = PlainStore(platform)
+        self.workers: dict[str, PlainWorker] = {}
+        self.specs: dict[str, Submission] = {}
+        self.finished: set[tuple[str, int]] = set()
+        self.told: dict[str, str] = {}
+        self.cancelled_at: dict[str, float] = {}
+        self.mail: list[Message] = []
+        self.mail_number = 0
+        self.leaders: list[Leader] = []
+        self.layout = Layout(platform.value_bytes, platform.txn_ops)
+        self.rented = 0
+        self.rentals_done: dict[str, tuple[str, ...]] = {}
+        self.chaos = 0.0
+        self.cloud_up = True
+        self.store_up = True
+        self.started = 0
+
+    # -- messages -----------------------------------------------------------------------------------------
+
+    def post(self, deliver: Any, lossy: bool = True) -> None:
+        """Send something: it may be lost, repeated or held back for long."""
+        roll = self.rng.random()
+        copies = 1
+        if lossy and roll < self.chaos * 0.15:
+            copies = 0
+        elif lossy and roll < self.chaos * 0.25:
+            copies = 2
+        for _ in range(copies):
+            delay = 0.02
+            if self.rng.random() < self.chaos * 0.2:
+                delay = self.rng.choice([1.0, 3.0, 6.0, 15.0, 60.0])
+            self.mail_number += 1
+            self.mail.append(Message(self.now + delay, self.mail_number, deliver))
+
+    def send_report(self, worker: PlainWorker, report: Report, sent_at: float) -> None:
+        """A report goes to one of the leaders."""
+        leaders = [leader for leader in self.leaders if not leader.silent and not leader.stepped_down]
+        if not leaders or worker.cut:
+            return
+        leader = self.rng.choice(leaders)
+
+        def arrive() -> None:
+            self.take_report(leader, worker, report, sent_at)
+        self.post(arrive)
+
+    def take_report(self, leader: Leader, worker: PlainWorker, report: Report, sent_at: float) -> None:
+        """What a controller does with a report."""
+        if leader.silent or leader.stepped_down:
+            return
+        cluster = leader.term.cluster
+        if report.token > cluster.token:
+            leader.stepped_down = True
+            return
+        machine = cluster.observe(report, self.now)
+        signals = [] if machine is None else cluster.orders(machine, report)
+        token = cluster.token
+
+        def arrive() -> None:
+            if not worker.cut:
+                worker.answer(report.session, report.seq, token, signals, sent_at)
+        self.post(arrive)
+
+    # -- leaders ------------------------------------------------------------------------------------------
+
+    def elect(self, label: str = "a") -> Leader:
+        """Somebody wins the key and reads all records."""
+        token = self.store.put_leader(label)
+        jobs, orphans = load_jobs(self.store.items(JOBS), self.store.items(CHUNKS))
+        cluster = Cluster(token, jobs, dict(self.types), self.now)
+        term = Term(self.platform, Tuning(), cluster, self.layout, random.Random(self.rng.random()),
+                    lambda: self.now, lambda: self.now)
+        term.garbage.extend(orphans)
+        for item in self.store.items(RENTALS):
+            name = item.key[len(RENTALS):]
+            term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
+        mark = self.store.data.get(BATCH, (None, 0))
+        leader = Leader(term, mark[1])
+        self.leaders.append(leader)
+        return leader
+
+    @property
+    def leader(self) -> Leader:
+        """The newest leader."""
+        return self.leaders[-1]
+
+    def write(self, leader: Leader) -> None:
+        """One step of a leader's writing: send a batch, or find out about the one that is under way."""
+        if leader.silent or leader.stepped_down or not self.store_up:
+            return
+        if leader.in_flight is None:
+            if not leader.term.has_work:
+                return
+            batch = leader.term.build()
+            if batch.empty:
+                for call in batch.after:
+                    call()
+                return
+            leader.number += 1
+            leader.in_flight = (batch, encode_batch(batch, self.layout, leader.term.cluster.token, leader.number,
+                                                    leader.mark_version))
+        batch, encoded = leader.in_flight
+        if self.rng.random() < self.chaos * 0.1:
+            # Lost on the way there; a copy may still turn up much later.
+            self.post(lambda: self.store.txn(encoded.body))
+            return
+        revision = self.store.txn(encoded.body)
+        if self.rng.random() < self.chaos * 0.1:
+            return
+        if revision is None:
+            value, version = self.store.data.get(BATCH, (None, 0))
+            if value is None or wire.convert(value, BatchMark) != encoded.mark:
+                leader.stepped_down = True
+                return
+            revision = version
+        leader.in_flight = None
+        leader.mark_version = revision
+        leader.term.commit(batch, revision, encoded.garbage)
+        while leader.term.urgent:
+            self.send_stops(leader, leader.term.urgent.pop())
+
+    def send_stops(self, leader: Leader, name: str) -> None:
+        """Stops go straight to the worker too, and may land late."""
+        machine = leader.term.cluster.machines.get(name)
+        worker = self.workers.get(name)
+        if machine is None or worker is None or machine.report is None:
+            return
+        cluster = leader.term.cluster
+        signals, session, token = cluster.stops(machine), machine.report.session, cluster.token
+        self.post(lambda: None if worker.cut else worker.direct(token, session, signals))
+
+    def keep_fleet(self, leader: Leader) -> None:
+        """Rent and return as the leader's fleet keeper does."""
+        term = leader.term
+        if leader.silent or leader.stepped_down or not self.cloud_up:
+            return
+        names = term.fenced() | term.unheard(self.now)
+        if self.now >= term.place_from:
+            plan = term.plan_rentals(self.now)
+            names |= {machine.name for machine in term.surplus(plan, self.now)}
+            if plan.rentals and len(self.alive()) < 14:
+                term.rent(plan)
+        for name in names:
+            machine = term.known_machine(name, self.now)
+            worker = self.workers.get(name)
+            if worker is not None:
+                worker.gone = True
+                worker.tasks.clear()
+            if machine.state.value != "gone":
+                term.cluster.forget_machine(machine, self.now)
+        for rental in list(term.open_rentals.values()):
+            machines = self.rentals_done.get(rental.name)
+            if machines is None:
+                machines = tuple(self.boot(rental.record) for _ in range(min(rental.record.count, 3)))
+                self.rentals_done[rental.name] = machines
+            term.settle_rental(rental, machines, self.now)
+
+    def boot(self, record: RentalRecord) -> str:
+        """A machine comes up."""
+        self.rented += 1
+        name = f"vm-{self.rented:06d}"
+        self.workers[name] = PlainWorker(self, name, self.types[record.type], record.zone, record.spot)
+        return name
+
+    # -- users --------------------------------------------------------------------------------------------
+
+    def submit(self, spec: Submission) -> None:
+        """A user submits a job (again)."""
+        known = ENDED + spec.id in self.store.data
+        if known or self.leader.stepped_down or self.leader.silent:
+            return
+        self.specs[spec.id] = spec
+        leader = self.leader
+
+        def answered(view: JobView | None) -> None:
+            if view is not None:
+                self.tell(view)
+        leader.term.submissions.append(Ticket(answered, spec, spec.id))
+
+    def cancel(self, job_id: str) -> None:
+        """A user cancels a job."""
+        if self.leader.term.lookup(job_id) is None:
+            return
+
+        def answered(view: JobView | None) -> None:
+            if view is not None:
+                self.tell(view)
+                if view.state == "cancelled":
+                    self.cancelled_at.setdefault(job_id, self.now)
+        self.leader.term.cancels.append(Ticket(answered, None, job_id))
+
+    def tell(self, view: JobView) -> None:
+        """A user is told a job's state."""
+        before = self.told.get(view.id)
+        if before in ("done", "cancelled") and view.state != before:
+            raise RuleBroken(f"went_back: {view.id} {before} -> {view.state}")
+        if view.state == "done":
+            missing = [index for index in range(self.specs[view.id].tasks) if (view.id, index) not in self.finished]
+            if missing:
+                raise RuleBroken(f"not_done: {view.id} lacks {missing}")
+        self.told[view.id] = view.state
+
+    # -- the rules ----------------------------------------------------------------------------------------
+
+    def alive(self) -> list[PlainWorker]:
+        """Machines that are not gone."""
+        return [worker for worker in self.workers.values() if not worker.gone]
+
+    def on_machines(self) -> list[tuple[PlainWorker, Running]]:
+        """Every task that is on a machine."""
+        return [(worker, task) for worker in self.alive() for task in worker.tasks.values() if task.state != "exited"]
+
+    def check_start(self, worker: PlainWorker, task: Running) -> None:
+        """A task starts: compare with everything else that is on machines."""
+        self.started += 1
+        job = task.job
+        others = [(where, other) for where, other in self.on_machines() if other is not task]
+        if any(other.job.id == job.id and other.index == task.index for _, other in others):
+            raise RuleBroken(f"ran_twice: {job.id}/{task.index} on {worker.name}")
+        if ((job.types is not None and worker.kind.name not in job.types)
+                or (job.zone is not None and worker.zone != job.zone) or (worker.spot and not job.spot)):
+            raise RuleBroken(f"wrong_place: {job.id} on {worker.name}")
+        mates = [where.zone for where, other in others if other.job.id == job.id]
+        if job.one_zone and any(zone != worker.zone for zone in mates):
+            raise RuleBroken(f"wrong_place: {job.id} in two zones")
+        if job.spread and mates.count(worker.zone) + 1 > -(-job.tasks // 2):
+            raise RuleBroken(f"wrong_place: {job.id} not spread")
+        team = self.platform.teams[job.team]
+        gpus = job.gpus + sum(other.job.gpus for _, other in others if other.job.team == job.team)
+        if team.gpus_max > 0 and gpus > team.gpus_max + 1e-6:
+            raise RuleBroken(f"quota: {job.team} uses {gpus}")
+        self.check_cancelled(job.id)
+
+    def check_cancelled(self, job_id: str) -> None:
+        """A task of this job is on a machine now."""
+        at = self.cancelled_at.get(job_id)
+        if at is not None and self.now > at + self.platform.cancel_s:
+            raise RuleBroken(f"ran_cancelled: {job_id}, {self.now - at:.1f} s after")
+
+    # -- time ---------------------------------------------------------------------------------------------
+
+    def step(self, seconds: float = 0.25) -> None:
+        """Let a moment pass."""
+        self.now += seconds
+        due = sorted(message for message in self.mail if message.at <= self.now)
+        self.mail = [message for message in self.mail if message.at > self.now]
+        for message in due:
+            message.deliver()
+        for worker in list(self.workers.values()):
+            worker.step()
+        for leader in self.leaders[-3:]:
+            self.write(leader)
+        if int(self.now * 4) % 4 == 0:
+            self.keep_fleet(self.leader)
+            for machine in list(self.leader.term.cluster.machines.values()):
+                if self.leader.term.cluster.stops(machine):
+                    self.send_stops(self.leader, machine.name)
+        for _, task in self.on_machines():
+            self.check_cancelled(task.job.id)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.step()
+
+    def poll_all(self) -> None:
+        """Users ask for the state of every accepted job; none may be forgotten."""
+        for job_id in list(self.told):
+            view = self.leader.term.lookup(job_id)
+            if view is None:
+                value = self.store.data.get(ENDED + job_id)
+                if value is None:
+                    raise RuleBroken(f"forgotten: {job_id}")
+                view = JobView(job_id, value[0][0], value[0][1])
+            self.tell(view)
+
+    def settle(self, seconds: float = 400.0) -> None:
+        """All trouble ends; then every job that is no service must be done, and cancelled ones gone."""
+        self.chaos, self.cloud_up, self.store_up = 0.0, True, True
+        for worker in self.workers.values():
+            worker.hung = worker.cut = worker.sick = False
+        if self.leader.stepped_down or self.leader.silent:
+            self.elect()
+        # Services hold quota for as long as they run.
+        for job_id, state in self.states().items():
+            if self.specs[job_id].kind is Kind.SERVICE and state not in ("done", "cancelled"):
+                self.cancel(job_id)
+        end = self.now + seconds
+        while self.now < end and not self.all_over():
+            self.step()
+            if self.leader.stepped_down:
+                self.elect()
+        self.poll_all()
+
+    def all_over(self) -> bool:
+        """Whether nothing is left to be done."""
+        return all(state in ("done", "cancelled") for state in self.states().values())
+
+    def states(self) -> dict[str, str]:
+        """Every accepted job's state."""
+        out = {}
+        for job_id in self.told:
+            job = self.leader.term.cluster.jobs.get(job_id)
+            if job is None:
+                ended = self.store.data.get(ENDED + job_id)
+                out[job_id] = str(ended[0][0]) if ended is not None else "lost"
+            elif job.state is JobState.CANCELLED and job.places:
+                out[job_id] = "cancelling"
+            else:
+                out[job_id] = self.leader.term.cluster.view(job).state
+        return out
