--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -73,7 +73,7 @@
         if not self.types_stored and len(wire.encode(tuple(types.values()))) < self.platform.value_bytes:
             self.types_stored = True
             term.notes[TYPES] = tuple(types.values())
-        term.room_changed = True
+        term.note_room()
         self.controller.kick()
 
     async def _list_loop(self) -> None:
@@ -217,5 +217,5 @@
                 if machine is not None:
                     term.cluster.forget_machine(machine, self.clock())
                     term.counters.returned += 1
-            term.room_changed = True
+            term.note_room()
             self.controller.kick()
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -61,6 +61,7 @@
         # Images that machines had under earlier leaders, until they report.
         self.known_images: dict[str, list[tuple[str, float]]] = {}
         self.on_exit: Callable[[Machine, Job, str], None] = lambda machine, job, why: None
+        self.on_up: Callable[[], None] = lambda: None
         for job in jobs.values():
             usage = self.usage.setdefault(job.spec.team, Usage())
             for index, place in job.places.items():
@@ -102,7 +103,8 @@
         machine = self.adopt(report.machine, report.type, report.zone, report.spot, report.addr, now)
         if machine.state is MachineState.BOOTING:
             change_machine(machine, MachineState.UP)
-            machine.ready_at = machine.idle_since = now
+            machine.idle_since = now
+            self.on_up()
         previous = machine.report
         machine.report, machine.heard_at = report, now
         # Only a worker that has seen our token drops the answers of the leader before us: until then a
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -36,14 +36,13 @@
     """One machine. What is committed about it is `tasks`; all else is learnt from reports and lists."""
 
     __slots__ = ("addr", "cpus", "failed_jobs", "full_until", "gpus", "heard_at", "idle_since", "images",
-                 "memory_gb", "name", "offered", "phases", "ready_at", "rented_at", "report", "reported", "seen",
+                 "memory_gb", "name", "offered", "phases", "rented_at", "report", "reported", "seen",
                  "spot", "state", "tasks", "trusted", "type", "zone")
 
     def __init__(self, name: str, kind: MachineType | None, zone: str, spot: bool, addr: str, now: float) -> None:
         self.name, self.type, self.zone, self.spot, self.addr = name, kind, zone, spot, addr
         self.state = MachineState.BOOTING
         self.rented_at = now
-        self.ready_at: float | None = None
         self.heard_at = now
         self.idle_since = now
         self.cpus = self.gpus = self.memory_gb = 0.0
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -90,6 +90,7 @@
         self.claims: dict[str, float] = {}
         self.progress_at: dict[tuple[str, int], float] = {}
         cluster.on_exit = self._note_exit
+        cluster.on_up = self.note_room
         for job in cluster.jobs.values():
             self.arrivals.note(job.spec, now - max(0.0, wall() - job.submitted))
 
@@ -113,6 +114,11 @@
             log.info("machine %s fails its tasks, it is drained", machine.name)
             change_machine(machine, MachineState.DRAINING)
 
+    def note_room(self) -> None:
+        """Something came or went: a placement round may find more than the last one did."""
+        self.room_changed = True
+        self.place_again_at = 0.0
+
     # -- the batch ----------------------------------------------------------------------------------------
 
     @property
@@ -154,10 +160,13 @@
             elif job.state is JobState.CANCELLED:
                 self.urgent.update(place.machine for place in job.places.values())
         self.cluster.commit(batch, revision, now)
+        if batch.created:
+            # A job is placed in the batch after its own: nothing else may come to ask for that round.
+            self.note_room()
         for _, _, old, new in batch.moves:
-            if new is None or new.stop is not None:
-                self.room_changed = True
-            if new is not None and new.stop is not None and old is not None:
+            if new is None:
+                self.note_room()
+            elif new.stop is not None and old is not None:
                 self.urgent.add(new.machine)
         self.garbage.extend(garbage)
         for name in self.in_flight:
@@ -212,7 +221,6 @@
                 batch.create(job)
                 self.arrivals.note(spec, now)
                 log.debug("job %s (%s) accepted: %d tasks", spec.id, spec.job_class, spec.tasks)
-                self.room_changed = True
             self.submissions.popleft()
             batch.after.append(self._answer_later(ticket, spec.id))
 
@@ -222,12 +230,8 @@
     def _take_reports(self, batch: Batch, now: float) -> None:
         for name in list(self.cluster.dirty):
             machine = self.cluster.machines.get(name)
-            if machine is not None:
-                before = len(batch.moves)
-                if not self.cluster.reconcile(machine, batch, now):
-                    return
-                if len(batch.moves) > before:
-                    self.room_changed = True
+            if machine is not None and not self.cluster.reconcile(machine, batch, now):
+                return
             self.cluster.dirty.discard(name)
 
     def _take_drains(self, batch: Batch) -> None:
@@ -318,8 +322,6 @@
         self.counters.rounds += 1
         queued, guaranteed = self.ordered_jobs()
         rooms = self.rooms(now)
-        for _, _, old, new in batch.moves:
-            self.room_changed = self.room_changed or old != new
         work = PlacementRound(rooms, round(self.tuning.sample), self.rng,
                               lambda job_id, index: (job_id, index) in self.cluster.ghosts)
         limits: dict[str, Limits] = {}
--- a/tests/world.py
+++ b/tests/world.py
@@ -506,6 +506,7 @@
             worker.hung = worker.cut = worker.sick = False
         if self.leader.stepped_down or self.leader.silent:
             self.elect()
+        self.run(5.0)
         # Services hold quota for as long as they run.
         for job_id, state in self.states().items():
             if self.specs[job_id].kind is Kind.SERVICE and state not in ("done", "cancelled"):
