--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -297,7 +297,7 @@
                 guaranteed.add(job.id)
             if job.queued > 0:
                 queued.append(job)
-        queued.sort(key=lambda job: (job.id not in guaranteed, job.spec.rank.level, job.submitted, job.id))
+        queued.sort(key=lambda job: _order(job, guaranteed))
         return queued, guaranteed
 
     def limits(self, team_name: str) -> Limits:
@@ -345,7 +345,7 @@
                 # The budget of this round is used up: the next one goes on behind the job before this.
                 self._cut_round(job, queued)
                 return
-            self._place_one(batch, job, work, limits, job.id in guaranteed, now)
+            self._place_one(batch, job, work, limits, guaranteed, now)
         if retry_at < INFINITE:
             self.room_changed = True
             self.place_again_at = retry_at
@@ -361,7 +361,7 @@
         self.place_again_at = 0.0
 
     def _place_one(self, batch: Batch, job: Job, work: PlacementRound, limits: dict[str, Limits],
-                   guaranteed: bool, now: float) -> None:
+                   guaranteed: set[str], now: float) -> None:
         limit = limits.setdefault(job.spec.team, self.limits(job.spec.team))
         most = self._batch_most(batch, job)
         if job.is_gang and job.queued > most:
@@ -402,16 +402,14 @@
             return job.queued if fit else 0
         return max(1, min(chunk * max(1, ops), (batch.size_left - 4096) // 128))
 
-    def _preempt_for(self, batch: Batch, job: Job, work: PlacementRound, guaranteed: bool, now: float) -> None:
+    def _preempt_for(self, batch: Batch, job: Job, work: PlacementRound, guaranteed: set[str], now: float) -> None:
         """Stop the cheapest work that the rules let this job displace, once per claim."""
         if job.spec.tasks > 1 and job.is_gang:
             return
         if self.claims.get(job.id, 0.0) > now:
             return
-        if not guaranteed and job.spec.rank.level > 1:
+        if job.id not in guaranteed and job.spec.rank.level > 1:
             return
-        level = job.spec.rank.level
-        protected = self._protected if guaranteed else None
 
         def victims_of(name: str) -> list[Victim]:
             machine = self.cluster.machines[name]
@@ -421,10 +419,7 @@
                 if (other is None or other.state is not JobState.ACTIVE or place.stop is not None
                         or (other.is_gang and other.spec.tasks > 1)):
                     continue
-                may = other.spec.rank.level > level
-                if not may and protected is not None and other.spec.team != job.spec.team:
-                    may = not protected(other)
-                if may:
+                if _may_displace(job, other, guaranteed):
                     found.append(Victim(other, index, self._loss(other)))
             return found
 
@@ -446,14 +441,6 @@
         # Its room is spoken for in this round: nothing else is placed there.
         room.cpus = room.gpus = room.memory_gb = -1.0
 
-    def _protected(self, job: Job) -> bool:
-        """Whether a job's team stays within its guarantee, so that others may not displace it."""
-        team = self.platform.teams.get(job.spec.team)
-        usage = self.cluster.usage.get(job.spec.team)
-        if team is None or usage is None:
-            return False
-        return _within(team.cpus, team.gpus, [usage.cpus, usage.gpus], job.spec)
-
     def _loss(self, job: Job) -> float:
         """Estimate what a stop loses, in seconds of all that the task takes."""
         spec = job.spec
@@ -600,6 +587,22 @@
         return names
 
 
+def _order(job: Job, guaranteed: set[str]) -> tuple[bool, int, float, str]:
+    """Return a job's turn: guarantees first, then rank, then age."""
+    return (job.id not in guaranteed, job.spec.rank.level, job.submitted, job.id)
+
+
+def _may_displace(job: Job, other: Job, guaranteed: set[str]) -> bool:
+    """Whether the protocol lets a job's need stop another's task.
+
+    What is stopped must also come later in the queue. Guards against a circle seen in an incident: a job was
+    stopped for one that came behind it, took the place again at once, and was stopped again.
+    """
+    lower_rank = other.spec.rank.level > job.spec.rank.level
+    beyond = job.id in guaranteed and other.id not in guaranteed and other.spec.team != job.spec.team
+    return (lower_rank or beyond) and _order(other, guaranteed) > _order(job, guaranteed)
+
+
 def _within(cpus: float, gpus: float, total: list[float], spec: Submission) -> bool:
     """Tell whether a sum lies within a guarantee; what a team is not guaranteed does not count against it."""
     if cpus <= 0 and gpus <= 0:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,7 +15,7 @@
 from driftcleat.settings import Tuning
 from driftcleat.store.client import Bucket
 from driftcleat.store.records import CHUNKS, JOBS, Layout, encode_batch, indices, load_jobs, ranges
-from driftcleat.term import Term, Ticket, never_fits
+from driftcleat.term import Term, Ticket, _may_displace, never_fits
 from driftcleat.wire.users import JobView
 from driftcleat.wire.workers import Report, TaskReport
 
@@ -296,3 +296,37 @@
     assert "fits no" in (never_fits(job(1, harbor="moon"), TYPES, SITE) or "")
     assert "limit" in (never_fits(job(1, rig="group", hands=9), TYPES, SITE) or "")
     assert never_fits(job(1, rig="array", hands=9), TYPES, SITE) is None
+
+
+def test_a_gang_is_not_placed_while_a_task_of_an_older_attempt_may_be_there() -> None:
+    gang = Job(job(1, rig="group", hands=2), 0.0)
+    rooms = [Room("a", "big", "north", False, 16, 4, 64)]
+    assert len(PlacementRound(rooms, 3, random.Random(1)).place(gang, Limits(99.0, 99.0), 9)) == 2
+    change_task(gang, 1, TaskState.PLACED, Place("z", "north", 1, 0.0))
+    rooms = [Room("a", "big", "north", False, 16, 4, 64)]
+    assert PlacementRound(rooms, 3, random.Random(1)).place(gang, Limits(99.0, 99.0), 9) == []
+
+
+def test_a_machine_that_reports_but_keeps_a_cancelled_task_is_fenced() -> None:
+    now = [0.0]
+    term = make_term(now)
+    attempt = placed(term, hands=1).places[0].attempt
+    term.cancels.append(Ticket(lambda view: None, None, "req-000001"))
+    commit(term)
+    assert term.fenced() == set()
+    now[0] = SITE.cancel_s * 0.5
+    term.cluster.observe(report(2, TaskReport("req-000001/0", attempt, "running")), now[0])
+    commit(term)
+    assert term.fenced() == {"vm-1"}
+
+
+def test_nobody_is_stopped_for_a_job_that_comes_later() -> None:
+    """Seen in an incident: a guaranteed best-effort job and a standard one displaced each other in a circle."""
+    low = Job(job(1, rank="best_effort", crew="red"), 1.0)
+    standard = Job(job(2, rank="standard", crew="blue"), 2.0)
+    assert _may_displace(low, standard, {low.id}), "a guarantee beats what others borrow"
+    assert not _may_displace(low, standard, {low.id, standard.id})
+    assert not _may_displace(standard, low, {low.id})
+    assert _may_displace(standard, low, set())
+    for guaranteed in (set(), {low.id}, {standard.id}, {low.id, standard.id}):
+        assert not (_may_displace(low, standard, guaranteed) and _may_displace(standard, low, guaranteed))
