Room is kept only for classes that could not wait for a machine to boot

Cause: room for two or three whole-machine jobs was kept although their aim of 100 s leaves time to boot and fetch.

--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -188,6 +188,9 @@
             log.debug("rental %s: %s", rental.name, error)
             await asyncio.sleep(self.platform.report_s / 6)
             return
+        kind = "spot" if record.spot else "ordinary"
+        log.debug("rental %s of %s %s in %s: %d of %d", rental.name, kind, record.type,
+                  record.zone, len(machines), record.count)
         if self.controller.term is term:
             if machines and len(machines) < record.count:
                 term.note_refusal((record.type, record.zone, record.spot), self.clock())
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -10,7 +10,7 @@
 Offer = tuple[str, str, bool]
 
 # What stays free on a new machine is worth this part of its price: later arrivals use it.
-LEFT_OVER = 0.5
+LEFT_OVER = 0.6
 
 
 @dataclass(slots=True)
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -16,7 +16,7 @@
 class Tuning:
     """What operators may set. Times are ratios to the platform's figures, named in each help text."""
 
-    ttl: float = _ratio("leadership", 0.2, 0.05, 0.9, "leader lease, of the worker lease")
+    ttl: float = _ratio("leadership", 0.12, 0.05, 0.9, "leader lease, of the worker lease")
     renew: float = _ratio("leadership", 0.3, 0.1, 0.5, "pause between renewals, of the leader lease")
     drift: float = _ratio("leadership", 0.002, 0.0005, 0.1, "part of a lease given up for clock drift")
     hold: float = _ratio("leadership", 2.0, 0.0, 20.0, "longest unsure time, of the worker lease")
@@ -33,6 +33,7 @@
                                                    "returned, of the time a cancellation has")
     idle: float = _ratio("fleet", 0.8, 0.0, 100.0, "idle time until a machine is returned, of its boot time")
     late: float = _ratio("fleet", 2.2, 1.0, 20.0, "boot time until a machine is replaced, of its usual one")
+    boots: float = _ratio("fleet", 1.25, 0.5, 5.0, "boot time to reckon with, of the usual one")
     headroom: float = _ratio("fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
                                                       "machine boots")
     window: float = _ratio("fleet", 40.0, 5.0, 1000.0, "time over which arrivals are counted, of the report interval")
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -481,23 +481,38 @@
             if kind is not None:
                 rooms.extend(Room(f"{rental.name}+{number}", kind.name, record.zone, record.spot, kind.cpus,
                                   kind.gpus, kind.memory_gb) for number in range(record.count))
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("demands %s", [(demand.spec.job_class, demand.tasks) for demand in demands])
         return plan_fleet(demands, rooms, self.cluster.types,
                           lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now, 64)
 
     def expected(self, now: float) -> list[Demand]:
-        """Return the arrivals to keep room for: those of the time a machine needs to boot."""
+        """Return the arrivals to keep room for: those of the time a machine needs to boot, of the classes that
+        could not wait for it."""
         out: list[Demand] = []
         for spec, rate in self.arrivals.rates(now):
-            boots = [kind.boot_s for kind in self.cluster.types.values()
+            kinds = [kind for kind in self.cluster.types.values()
                      if fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
                      and (spec.types is None or kind.name in spec.types)]
-            if not boots:
+            if not kinds or self._can_wait(spec, kinds):
                 continue
-            tasks = round(rate * min(boots) * self.tuning.headroom)
+            tasks = round(rate * min(kind.boot_s for kind in kinds) * self.tuning.headroom)
             if tasks > 0:
                 out.append(Demand(spec, tasks, {}))
         return out
 
+    def _can_wait(self, spec: Submission, kinds: list[MachineType]) -> bool:
+        """Whether a job meets its class's aims although it has to wait for a machine to boot and fetch."""
+        ready_s = min(kind.boot_s * self.tuning.boots + spec.image_gb / max(kind.fetch_gb_per_s, 1e-9)
+                      for kind in kinds) + self.platform.report_s
+        aims = [(objective.within_s, objective.kind) for objective in self.platform.objectives
+                if objective.job_class == spec.job_class and objective.kind in ("wait", "finished")]
+        if spec.deadline_s is not None:
+            aims.append((spec.deadline_s, "finished"))
+        if not aims:
+            return spec.rank.level > 1
+        return all(ready_s + (spec.estimate_s if kind == "finished" else 0.0) <= within_s for within_s, kind in aims)
+
     def summary(self) -> str:
         """Return machines by type and use, and queued tasks by class, for the log."""
         rows: dict[str, list[int]] = {}
