--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -148,6 +148,10 @@
                 log.debug("fleet %s", term.summary())
             for machine in term.surplus(plan, now):
                 self._give_back(term, machine, f"{machine.state.value}, surplus")
+            thin = term.thinned(now) if not plan.rentals else None
+            if thin is not None:
+                term.drain(thin, "its replicas fit elsewhere")
+                self.controller.kick()
             if plan.rentals:
                 log.info("renting %s", plan.rentals)
                 term.rent(plan)
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -62,6 +62,7 @@
         self.known_images: dict[str, list[tuple[str, float]]] = {}
         self.on_exit: Callable[[Machine, Job, str], None] = lambda machine, job, why: None
         self.on_up: Callable[[], None] = lambda: None
+        self.on_notice: Callable[[Machine, float], None] = lambda machine, notice_s: None
         for job in jobs.values():
             usage = self.usage.setdefault(job.spec.team, Usage())
             for index, place in job.places.items():
@@ -111,6 +112,8 @@
         # start of that leader may still reach it, and its report proves nothing about absent tasks.
         machine.trusted = report.token == self.token
         self._read_tasks(machine, report, previous)
+        if report.notice_s is not None and machine.state is MachineState.UP:
+            self.on_notice(machine, report.notice_s)
         return machine
 
     def _read_tasks(self, machine: Machine, report: Report, previous: Report | None) -> None:
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -35,8 +35,8 @@
 class Machine:
     """One machine. What is committed about it is `tasks`; all else is learnt from reports and lists."""
 
-    __slots__ = ("addr", "cpus", "failed_jobs", "full_until", "gpus", "heard_at", "idle_since", "images",
-                 "memory_gb", "name", "offered", "phases", "rented_at", "report", "reported", "seen",
+    __slots__ = ("addr", "changed_at", "cpus", "failed_jobs", "full_until", "gpus", "heard_at", "idle_since",
+                 "images", "memory_gb", "name", "offered", "phases", "rented_at", "report", "reported", "seen",
                  "spot", "state", "tasks", "trusted", "type", "zone")
 
     def __init__(self, name: str, kind: MachineType | None, zone: str, spot: bool, addr: str, now: float) -> None:
@@ -45,6 +45,7 @@
         self.rented_at = now
         self.heard_at = now
         self.idle_since = now
+        self.changed_at = now
         self.cpus = self.gpus = self.memory_gb = 0.0
         self.tasks: dict[TaskKey, Place] = {}
         self.images: OrderedDict[str, float] = OrderedDict()
@@ -76,6 +77,7 @@
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
+        self.changed_at = now
         attempt = (key[0], key[1], place.attempt)
         self.offered.pop(attempt, None)
         self.seen.discard(attempt)
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -36,6 +36,8 @@
     boots: float = _ratio("fleet", 1.25, 0.5, 5.0, "boot time to reckon with, of the usual one")
     headroom: float = _ratio("fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
                                                       "machine boots")
+    thin: float = _ratio("fleet", 1.0, 0.0, 1000.0, "time without an exit until a machine's last replicas are moved, "
+                                                    "of its boot time")
     window: float = _ratio("fleet", 40.0, 5.0, 1000.0, "time over which arrivals are counted, of the report interval")
     queue: float = _ratio("api", 4.0, 0.1, 100.0, "submissions waiting at most, of the changes a second")
     retry: float = _ratio("api", 0.34, 0.1, 10.0, "Retry-After, of the report interval")
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -15,12 +15,12 @@
 from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
 from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, Place, TaskState, change_machine
 from driftcleat.placement.engine import Limits, PlacementRound, Victim, plan_preemption
-from driftcleat.placement.rooms import Room, allowed, capacity, fits
+from driftcleat.placement.rooms import Room, allowed, capacity, fits, spread_limit
 from driftcleat.settings import Platform, Tuning
 from driftcleat.store.records import MACHINES, RENTALS, Layout, MachineRecord, RentalRecord
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import JobView, Kind, Submission
-from driftcleat.wire.workers import FETCHING
+from driftcleat.wire.workers import FETCHING, RUNNING
 
 log = logging.getLogger(__name__)
 
@@ -85,12 +85,14 @@
         self.arrivals = Arrivals(platform.report_s * tuning.window, platform.report_s)
         self.counters = Counters()
         self.room_changed = True
+        self.check_drains = True
         self.place_again_at = 0.0
         self.resume_behind: str | None = None
         self.claims: dict[str, float] = {}
         self.progress_at: dict[tuple[str, int], float] = {}
         cluster.on_exit = self._note_exit
         cluster.on_up = self.note_room
+        cluster.on_notice = lambda machine, notice_s: self.drain(machine, f"notice of {notice_s:.1f} s")
         for job in cluster.jobs.values():
             self.arrivals.note(job.spec, now - max(0.0, wall() - job.submitted))
 
@@ -111,14 +113,20 @@
     def _note_exit(self, machine: Machine, job: Job, why: str) -> None:
         self.counters.failures[why] = self.counters.failures.get(why, 0) + 1
         if len(machine.failed_jobs) >= 2 and machine.state is MachineState.UP:
-            log.info("machine %s fails its tasks, it is drained", machine.name)
-            change_machine(machine, MachineState.DRAINING)
+            self.drain(machine, "it fails its tasks")
 
     def note_room(self) -> None:
         """Something came or went: a placement round may find more than the last one did."""
         self.room_changed = True
         self.place_again_at = 0.0
 
+    def drain(self, machine: Machine, why: str) -> None:
+        """Place nothing more on a machine and stop what is there, with time to save."""
+        log.info("draining %s with %d tasks: %s", machine.name, len(machine.tasks), why)
+        change_machine(machine, MachineState.DRAINING)
+        # Nothing else need happen for the next batch to hold the stops.
+        self.check_drains = True
+
     # -- the batch ----------------------------------------------------------------------------------------
 
     @property
@@ -126,7 +134,7 @@
         """Whether a batch built now may hold something."""
         now = self.clock()
         return bool(self.submissions or self.cancels or self.cluster.dirty or self.new_rentals
-                    or self.settled_rentals or self.garbage or self.notes
+                    or self.settled_rentals or self.garbage or self.notes or self.check_drains
                     or (self.room_changed and now >= max(self.place_from, self.place_again_at)))
 
     def build(self) -> Batch:
@@ -171,6 +179,9 @@
         self.garbage.extend(garbage)
         for name in self.in_flight:
             self._note_images(name)
+        # A batch under way may have put a task where meanwhile a drain began.
+        self.check_drains = self.check_drains or any(
+            machine.state is MachineState.DRAINING for machine in self.cluster.machines.values())
         self.in_flight = set()
         self.counters.batches += 1
         for call in batch.after:
@@ -235,12 +246,8 @@
             self.cluster.dirty.discard(name)
 
     def _take_drains(self, batch: Batch) -> None:
-        """Stop what runs on machines that take no more: spot notices, machines that fail their tasks."""
+        """Stop what runs on machines that take no more."""
         for machine in self.cluster.machines.values():
-            report = machine.report
-            if machine.state is MachineState.UP and report is not None and report.notice_s is not None:
-                log.info("machine %s has a notice of %.1f s", machine.name, report.notice_s)
-                change_machine(machine, MachineState.DRAINING)
             if machine.state is not MachineState.DRAINING:
                 continue
             for job_id, index in machine.tasks:
@@ -249,6 +256,7 @@
                     continue
                 if not self._stop_attempt(batch, job, index):
                     return
+        self.check_drains = False
 
     def _stop_attempt(self, batch: Batch, job: Job, index: int) -> bool:
         """Stop a task with time to save; of a gang all tasks. False when the batch is too full."""
@@ -579,6 +587,53 @@
                 out.append(machine)
         return out
 
+    def thinned(self, now: float) -> Machine | None:
+        """Return a machine whose few replicas fit, images and all, into rooms that others leave free.
+
+        Services last longer than what ran beside them; each left alone on a machine keeps all of it rented.
+        Draining it moves them: allowed by the protocol, and they are away for about one report interval.
+        """
+        jobs = self.cluster.jobs
+        settled = now - self.cluster.started_at > self.platform.lease_s
+        if not settled or any(job.queued for job in jobs.values()) or any(
+                machine.state is MachineState.DRAINING for machine in self.cluster.machines.values()):
+            return None
+        best: Machine | None = None
+        best_cost = 0.0
+        for machine in self.cluster.machines.values():
+            kind = machine.type
+            if (machine.state is not MachineState.UP or kind is None or not machine.tasks
+                    or machine.name in self.in_flight or now - machine.changed_at < kind.boot_s * self.tuning.thin):
+                continue
+            specs = [jobs[key[0]].spec for key in machine.tasks if key[0] in jobs]
+            used = max((sum(need) / whole for need, whole in (
+                ((spec.cpus for spec in specs), kind.cpus), ((spec.gpus for spec in specs), kind.gpus),
+                ((spec.memory_gb for spec in specs), kind.memory_gb)) if whole > 0), default=1.0)
+            price = kind.spot_price if machine.spot else kind.price
+            wasted = (1.0 - used) * price
+            if used > 0.5 + 1e-6 or wasted <= best_cost or not self._fit_elsewhere(machine, now):
+                continue
+            best, best_cost = machine, wasted
+        return best
+
+    def _fit_elsewhere(self, machine: Machine, now: float) -> bool:
+        rooms = [room for room in self.rooms(now) if room.busy and room.name != machine.name]
+        for job_id, index in machine.tasks:
+            job = self.cluster.jobs.get(job_id)
+            if job is None or job.state is not JobState.ACTIVE or job.spec.kind is not Kind.SERVICE or (
+                    machine.phases.get((job_id, index)) != RUNNING or job.spec.one_zone):
+                return False
+            spec = job.spec
+            counts = job.zone_counts()
+            counts[machine.zone] -= 1
+            room = next((room for room in rooms if fits(spec, room.cpus, room.gpus, room.memory_gb)
+                         and allowed(spec, room.type, room.zone, room.spot) and room.fetch_rank(spec.image) == 0
+                         and counts.get(room.zone, 0) < spread_limit(spec)), None)
+            if room is None:
+                return False
+            room.take(spec)
+        return True
+
     def unheard(self, now: float) -> set[str]:
         """Return machines that hold tasks but have not been heard of in this term: only their return proves
         the tasks gone."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -330,3 +330,50 @@
     assert _may_displace(standard, low, set())
     for guaranteed in (set(), {low.id}, {standard.id}, {low.id, standard.id}):
         assert not (_may_displace(low, standard, guaranteed) and _may_displace(standard, low, guaranteed))
+
+
+def test_a_spot_notice_drains_at_once_although_nothing_else_happens() -> None:
+    """Seen by reading: a report that differs only in its notice started no batch."""
+    now = [0.0]
+    term = make_term(now)
+    attempt = placed(term, hands=1).places[0].attempt
+    running = TaskReport("req-000001/0", attempt, "running")
+    term.cluster.observe(report(2, running), 1.0)
+    while term.has_work:
+        commit(term)
+    term.cluster.observe(Report("vm-1", "h:1", "big", "north", False, 1, 3, 5, (running,), 8.0), 2.0)
+    assert term.has_work
+    commit(term)
+    assert term.cluster.jobs["req-000001"].places[0].stop == 2.0
+
+
+def test_a_lone_replica_moves_to_where_its_image_is_and_only_then() -> None:
+    now = [100.0]
+    term = make_term(now)
+    term.cluster.started_at = 0.0
+    for number in (1, 2, 3):
+        term.submissions.append(Ticket(lambda view: None, job(number, rig="daemon", hands=1), f"req-{number:06d}"))
+    commit(term)
+    commit(term)
+    cluster = term.cluster
+    cluster.observe(Report("vm-2", "h:2", "big", "north", False, 1, 1, 5, ()), 100.0)
+    term.submissions.append(Ticket(lambda view: None, job(4, rig="daemon", hands=1, accelerators=4.0), "req-000004"))
+    commit(term)
+    commit(term)
+    spare, full = cluster.machines["vm-1"], cluster.machines["vm-2"]
+    assert (len(spare.tasks), len(full.tasks)) == (3, 1)
+    for machine in (spare, full):
+        machine.changed_at = 0.0
+        for key in machine.tasks:
+            machine.phases[key] = "running"
+    assert term.thinned(now[0]) is None, "nothing is thin: one is full, the other more than half used"
+    for key in list(spare.tasks)[:2]:
+        spare.drop(key, cluster.jobs[key[0]].spec, 0.0)
+    full.drop(next(iter(full.tasks)), cluster.jobs["req-000004"].spec, 0.0)
+    assert term.thinned(now[0]) is None, "the other machine is empty: moving there would gain nothing"
+    full.add(("req-000001", 0), Place("vm-2", "north", 1), cluster.jobs["req-000001"].spec)
+    full.phases[("req-000001", 0)] = "running"
+    assert term.thinned(now[0]) in (spare, full)
+    full.images.clear()
+    spare.images.clear()
+    assert term.thinned(now[0]) is None, "a move must not wait for a fetch"
