--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -34,9 +34,10 @@
     idle: float = _ratio("fleet", 0.8, 0.0, 100.0, "idle time until a machine is returned, of its boot time")
     late: float = _ratio("fleet", 2.2, 1.0, 20.0, "boot time until a machine is replaced, of its usual one")
     boots: float = _ratio("fleet", 1.25, 0.5, 5.0, "boot time to reckon with, of the usual one")
+    doubt: float = _ratio("fleet", 2.0, 0.5, 10.0, "run time to reckon with, of the owner's estimate")
     headroom: float = _ratio("fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
                                                       "machine boots")
-    thin: float = _ratio("fleet", 1.0, 0.0, 1000.0, "time without an exit until a machine's last replicas are moved, "
+    thin: float = _ratio("fleet", 5.0, 0.0, 1000.0, "time without an exit until a machine's last replicas are moved, "
                                                     "of its boot time")
     window: float = _ratio("fleet", 40.0, 5.0, 1000.0, "time over which arrivals are counted, of the report interval")
     queue: float = _ratio("api", 4.0, 0.1, 100.0, "submissions waiting at most, of the changes a second")
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -519,7 +519,8 @@
             aims.append((spec.deadline_s, "finished"))
         if not aims:
             return spec.rank.level > 1
-        return all(ready_s + (spec.estimate_s if kind == "finished" else 0.0) <= within_s for within_s, kind in aims)
+        run_s = spec.estimate_s * self.tuning.doubt
+        return all(ready_s + (run_s if kind == "finished" else 0.0) <= within_s for within_s, kind in aims)
 
     def summary(self) -> str:
         """Return machines by type and use, and queued tasks by class, for the log."""
