--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -348,7 +348,7 @@
 
 
 def test_a_lone_replica_moves_to_where_its_image_is_and_only_then() -> None:
-    now = [100.0]
+    now = [1000.0]
     term = make_term(now)
     term.cluster.started_at = 0.0
     for number in (1, 2, 3):
@@ -356,7 +356,7 @@
     commit(term)
     commit(term)
     cluster = term.cluster
-    cluster.observe(Report("vm-2", "h:2", "big", "north", False, 1, 1, 5, ()), 100.0)
+    cluster.observe(Report("vm-2", "h:2", "big", "north", False, 1, 1, 5, ()), now[0])
     term.submissions.append(Ticket(lambda view: None, job(4, rig="daemon", hands=1, accelerators=4.0), "req-000004"))
     commit(term)
     commit(term)
