--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -9,6 +9,8 @@
 
 from .rooms import Room, allowed, fits, spread_limit
 
+MANY = 1_000_000
+
 Shape = tuple[float, float, float, tuple[str, ...] | None, str | None, bool, bool, bool]
 
 
@@ -44,6 +46,7 @@
 
     machine: str
     victims: tuple[Victim, ...]
+    cost: float
 
 
 class PlacementRound:
@@ -56,14 +59,15 @@
         self.by_name = {room.name: room for room in self.rooms}
         self.sample, self.rng, self.blocked = max(1, sample), rng, blocked
         self.hopeless: set[Shape] = set()
-        self.share_fetch = True
+        self.most_fetches = MANY
 
-    def place(self, job: Job, limits: Limits, most: int, share_fetch: bool = True) -> list[tuple[int, Room]]:
+    def place(self, job: Job, limits: Limits, most: int, most_fetches: int = MANY) -> list[tuple[int, Room]]:
         """Return places for queued tasks of a job; the rooms and limits are used up by them.
 
-        Without `share_fetch`, machines that fetch another image are left out.
+        `most_fetches` is the highest `Room.fetch_rank` that will do: 0 wants the image to be there, 1 wants
+        no other fetch to share with.
         """
-        self.share_fetch = share_fetch
+        self.most_fetches = most_fetches
         if job.is_gang:
             return self._place_gang(job, limits)
         return self._place_some(job, limits, min(most, job.queued))
@@ -156,7 +160,7 @@
             if not allowed(spec, room.type, room.zone, room.spot) or (zone is not None and room.zone != zone):
                 continue
             if spec.id in room.avoided_by or not also(room) or (
-                    not self.share_fetch and room.fetch_rank(spec.image) > 1):
+                    room.fetch_rank(spec.image) > self.most_fetches):
                 refused = True
                 continue
             score = self._score(spec, room)
@@ -196,5 +200,5 @@
             chosen.append(victim)
             cost += victim.cost
         if chosen and fits(spec, cpus, gpus, memory_gb) and (best is None or cost < best_cost):
-            best, best_cost = Preemption(name, tuple(chosen)), cost
+            best, best_cost = Preemption(name, tuple(chosen), cost), cost
     return best
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -25,6 +25,8 @@
     budget: float = _ratio("placement", 0.01, 0.0005, 0.2, "time of one round, of the report interval")
     patience: float = _ratio("placement", 2.0, 0.0, 20.0, "time a job waits for a machine that fetches no other "
                                                           "image, of a machine's boot time")
+    evict: float = _ratio("placement", 0.5, 0.0, 100.0, "loss taken to start where an image is, of what fetching it "
+                                                        "costs")
     scan: float = _ratio("placement", 1.67, 0.2, 20.0, "pause between scans, of the report interval")
     answer: float = _ratio("placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, "
                                                         "of the report interval")
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -14,7 +14,7 @@
 from driftcleat.fleet.arrivals import Arrivals
 from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
 from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, Place, TaskState, change_machine
-from driftcleat.placement.engine import Limits, PlacementRound, Victim, plan_preemption
+from driftcleat.placement.engine import MANY, Limits, PlacementRound, Victim, plan_preemption
 from driftcleat.placement.rooms import Room, allowed, capacity, fits, spread_limit
 from driftcleat.settings import Platform, Tuning
 from driftcleat.store.records import MACHINES, RENTALS, Layout, MachineRecord, RentalRecord
@@ -89,7 +89,7 @@
         self.place_again_at = 0.0
         self.resume_behind: str | None = None
         self.claims: dict[str, float] = {}
-        self.progress_at: dict[tuple[str, int], float] = {}
+        self.image_claims: set[str] = set()
         cluster.on_exit = self._note_exit
         cluster.on_up = self.note_room
         cluster.on_notice = lambda machine, notice_s: self.drain(machine, f"notice of {notice_s:.1f} s")
@@ -163,6 +163,7 @@
             if job.state in (JobState.DONE, JobState.GONE):
                 self.ended[job_id] = self.cluster.view(job)
                 self.claims.pop(job_id, None)
+                self.image_claims.discard(job_id)
                 while len(self.ended) > 5000:
                     self.ended.popitem(last=False)
             elif job.state is JobState.CANCELLED:
@@ -375,7 +376,9 @@
         if job.is_gang and job.queued > most:
             self.room_changed = True
             return
-        placed = work.place(job, limit, most, not self._better_waits(job, now))
+        if self._make_room_by_image(batch, job, work, limit, guaranteed, now):
+            return
+        placed = work.place(job, limit, most, self._most_fetches(job, now))
         if placed:
             attempt = batch.launch(job.id)
             for index, room in placed:
@@ -384,9 +387,38 @@
             log.debug("job %s (%s, image %s of %.1f GB) attempt %d: %s", job.id, job.spec.job_class, job.spec.image,
                       job.spec.image_gb, attempt, ", ".join(f"{index} on {room.name}" for index, room in placed[:8]))
             self.claims.pop(job.id, None)
+            self.image_claims.discard(job.id)
         elif job.queued and limit.fits(job.spec, job.queued if job.is_gang else 1):
             self._preempt_for(batch, job, work, guaranteed, now)
 
+    def _most_fetches(self, job: Job, now: float) -> int:
+        """Return how far a place's fetches may be shared: see `PlacementRound.place`."""
+        if job.id in self.image_claims:
+            if self.claims.get(job.id, 0.0) > now:
+                return 0
+            self.image_claims.discard(job.id)
+        return 1 if self._better_waits(job, now) else MANY
+
+    def _make_room_by_image(self, batch: Batch, job: Job, work: PlacementRound, limit: Limits, guaranteed: set[str],
+                            now: float) -> bool:
+        """Stop lower work on a machine that has the image, if that loses less than fetching it elsewhere."""
+        spec = job.spec
+        if spec.tasks > 1 or self.claims.get(job.id, 0.0) > now or not limit.fits(spec, 1):
+            return False
+        work.most_fetches = MANY
+        best = work.find(spec, spec.zone, lambda room: True)
+        if best is None or best.fetch_rank(spec.image) == 0:
+            return False
+        kind = self.cluster.types.get(best.type)
+        if kind is None:
+            return False
+        fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-9) * _size(spec)
+        cached = [room.name for room in work.rooms if room.busy and spec.image in room.images]
+        if not self._preempt(batch, job, work, guaranteed, now, cached, fetch * self.tuning.evict):
+            return False
+        self.image_claims.add(job.id)
+        return True
+
     def _better_waits(self, job: Job, now: float) -> bool:
         """Whether a machine that boots is likely better than one that fetches another image: fetches share
         a machine's rate, so images that are mixed on one machine all come late."""
@@ -411,14 +443,16 @@
         return max(1, min(chunk * max(1, ops), (batch.size_left - 4096) // 128))
 
     def _preempt_for(self, batch: Batch, job: Job, work: PlacementRound, guaranteed: set[str], now: float) -> None:
-        """Stop the cheapest work that the rules let this job displace, once per claim."""
-        if job.spec.tasks > 1 and job.is_gang:
-            return
-        if self.claims.get(job.id, 0.0) > now:
-            return
-        if job.id not in guaranteed and job.spec.rank.level > 1:
+        """Make room for a job that found none."""
+        if (job.spec.tasks > 1 and job.is_gang) or self.claims.get(job.id, 0.0) > now:
             return
+        if job.id in guaranteed or job.spec.rank.level <= 1:
+            busy = [room.name for room in work.rooms if room.busy]
+            self._preempt(batch, job, work, guaranteed, now, busy, INFINITE)
 
+    def _preempt(self, batch: Batch, job: Job, work: PlacementRound, guaranteed: set[str], now: float,
+                 machines: list[str], most_cost: float) -> bool:
+        """Stop the cheapest work that the rules let this job displace on one of these machines."""
         def victims_of(name: str) -> list[Victim]:
             machine = self.cluster.machines[name]
             found = []
@@ -431,33 +465,33 @@
                     found.append(Victim(other, index, self._loss(other)))
             return found
 
-        plan = plan_preemption(job.spec, work.rooms, victims_of,
-                               [room.name for room in work.rooms if room.busy])
-        if plan is None:
-            return
-        if sum(1 for _ in plan.victims) * 2 > batch.ops_left:
+        plan = plan_preemption(job.spec, work.rooms, victims_of, machines)
+        if plan is None or plan.cost > most_cost:
+            return False
+        if len(plan.victims) * 2 > batch.ops_left:
             self.room_changed = True
-            return
+            return False
         for victim in plan.victims:
             if not self._stop_attempt(batch, batch.get(victim.job.id) or victim.job, victim.index):
                 self.room_changed = True
-                return
+                return False
             self.counters.preempted += 1
+        log.debug("job %s displaces %s on %s", job.id, [victim.job.id for victim in plan.victims], plan.machine)
         self.claims[job.id] = now + self.platform.report_s * 3 + max(
             victim.job.spec.save_s for victim in plan.victims)
         room = work.by_name[plan.machine]
         # Its room is spoken for in this round: nothing else is placed there.
         room.cpus = room.gpus = room.memory_gb = -1.0
+        return True
 
     def _loss(self, job: Job) -> float:
         """Estimate what a stop loses, in seconds of all that the task takes."""
         spec = job.spec
-        size = max(spec.gpus, spec.cpus / 16)
+        size = _size(spec)
         if spec.kind is Kind.SERVICE:
             return size * 1e4
-        if spec.checkpoint_s > 0:
-            return size * (spec.save_s + 1.0)
-        return size * (spec.estimate_s + 1.0)
+        again = self.platform.report_s * 2
+        return size * (again + (spec.save_s if spec.checkpoint_s > 0 else spec.estimate_s))
 
     # -- fleet --------------------------------------------------------------------------------------------
 
@@ -658,6 +692,11 @@
         return names
 
 
+def _size(spec: Submission) -> float:
+    """Return how much a task takes, to weigh its seconds by."""
+    return max(spec.gpus, spec.cpus / 16, 1e-3)
+
+
 def _order(job: Job, guaranteed: set[str]) -> tuple[bool, int, float, str]:
     """Return a job's turn: guarantees first, then rank, then age."""
     return (job.id not in guaranteed, job.spec.rank.level, job.submitted, job.id)
