--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -83,12 +83,17 @@
         self.election = Election(platform, self.tuning, self.store, self.rng, self.clock, self._rebuild,
                                  self._resigned, self._store_elsewhere)
         self.keeper = FleetKeeper(self)
-        await serve(platform.back, self._handle_back, 128, 256 * 1024)
-        await serve(platform.bind, self._handle_front, 256)
+        servers = [await serve(platform.back, self._handle_back, 128, 256 * 1024),
+                   await serve(platform.bind, self._handle_front, 256)]
         log.info("controller %s listens on %s and %s", platform.label, platform.bind, platform.back)
         loops: list[Callable[[], Awaitable[None]]] = [self.election.run, self._write_loop, self._scan_loop,
                                                       self._direct_loop, *self.keeper.loops()]
-        await asyncio.gather(*(self._contain(loop) for loop in loops))
+        try:
+            await asyncio.gather(*(self._contain(loop) for loop in loops))
+        finally:
+            for server in servers:
+                await server.cleanup()
+            await session.close()
 
     async def _contain(self, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop for ever; what it raises is logged, the process never ends itself."""
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,298 @@
+"""Stand-ins that speak HTTP: state service, cloud and workers, for real controllers on loopback."""
+
+import asyncio
+import json
+import random
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from driftcleat import wire
+from driftcleat.settings import Tuning
+from driftcleat.settings.platform import parse_platform
+from driftcleat.store.records import RentalRecord
+from driftcleat.wire.workers import Orders, Report, Signal
+
+from .samples import TYPES, raw_settings
+from .world import PlainStore, PlainWorker, World
+
+
+def free_port() -> int:
+    """Return a port that is free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+async def until(condition: Any, what: str, most_s: float = 60.0) -> Any:
+    """Wait for a condition (plain or async); the limit only guards against hanging for ever."""
+    end = asyncio.get_running_loop().time() + most_s
+    while True:
+        value = condition()
+        if asyncio.iscoroutine(value):
+            value = await value
+        if value:
+            return value
+        assert asyncio.get_running_loop().time() < end, f"never: {what}"
+        await asyncio.sleep(0.02)
+
+
+class StoreServer:
+    """The state service: txns, leases, watches, outages for all or for one."""
+
+    def __init__(self, store: PlainStore) -> None:
+        self.store = store
+        self.leases: dict[int, float] = {}
+        self.ttl: dict[int, float] = {}
+        self.attached: dict[str, int] = {}
+        self.down_for: set[str] = set()
+        self.number = 0
+        self.txns = 0
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def expire(self) -> None:
+        """End leases that were not renewed; in an outage time stands still for them."""
+        for lease in [lease for lease, end in self.leases.items() if end < self.now()]:
+            self.end(lease)
+
+    def end(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [key for key, other in self.attached.items() if other == lease]:
+            del self.attached[key]
+            if self.store.data.pop(key, None) is not None:
+                self.store.revision += 1
+
+    def heal(self) -> None:
+        """The outage is over: every lease has its full time again."""
+        self.down_for.clear()
+        for lease in self.leases:
+            self.leases[lease] = self.now() + self.ttl[lease]
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        sender = request.headers.get("X-Sender", "")
+        if "all" in self.down_for or sender in self.down_for:
+            return web.json_response({"error": "trouble"}, status=503)
+        if "all" not in self.down_for:
+            self.expire()
+        path, store = request.path, self.store
+        if path == "/txn":
+            raw = json.loads(body)
+            self.txns += 1
+            for change in raw["then"]:
+                if change.get("berth") is not None and change["berth"] not in self.leases:
+                    return web.json_response({"error": "no such lease"}, status=400)
+            revision = store.txn(body)
+            if revision is None:
+                return web.json_response({"failed": ["?"], "logline": store.revision}, status=409)
+            for change in raw["then"]:
+                if change.get("berth") is not None:
+                    self.attached[change["put"]] = change["berth"]
+            return web.json_response({"logline": revision})
+        if path == "/leases":
+            self.number += 1
+            self.ttl[self.number] = json.loads(body)["ttlMs"] / 1000
+            self.leases[self.number] = self.now() + self.ttl[self.number]
+            return web.json_response({"berth": self.number})
+        if path.startswith("/leases/"):
+            lease = int(path.split("/")[2])
+            if lease not in self.leases:
+                return web.json_response({}, status=404)
+            if request.method == "DELETE":
+                self.end(lease)
+            else:
+                self.leases[lease] = self.now() + self.ttl[lease]
+            return web.json_response({})
+        if path == "/watch":
+            revision, end = int(request.query["from"]), self.now() + int(request.query["waitMs"]) / 1000
+            while self.now() < end:
+                if "all" not in self.down_for:
+                    self.expire()
+                if store.revision > revision and not store.items(request.query["under"]):
+                    return web.json_response({"logline": store.revision,
+                                              "log": [{"remove": request.query["under"], "entry": store.revision}]})
+                await asyncio.sleep(0.02)
+            return web.json_response({"logline": store.revision, "log": []})
+        if path == "/store":
+            items = [item for item in store.items(request.query["under"]) if item.key > request.query.get("from", "")]
+            page = items[:int(request.query["page"])]
+            rows = [{"key": item.key, "v": json.loads(bytes(item.value)), "entry": item.version,
+                     "berth": self.attached.get(item.key)} for item in page]
+            return web.json_response({"rows": rows, "truncated": len(items) > len(page), "logline": store.revision})
+        key = path[len("/store/"):]
+        if key not in store.data:
+            return web.json_response({"logline": store.revision}, status=404)
+        value, version = store.data[key]
+        return web.json_response({"key": key, "v": value, "entry": version, "berth": self.attached.get(key)})
+
+
+class LiveWorld(World):
+    """The plain world on the real clock, its workers talking HTTP to real controllers."""
+
+    def __init__(self, platform: Any) -> None:
+        super().__init__(1, platform, dict(TYPES))
+        self.fronts: dict[str, str] = {}
+        self.pending: set[asyncio.Task[None]] = set()
+        self.session: aiohttp.ClientSession | None = None
+        self.attached: dict[str, str] = {}
+        self.cloud_down = False
+        self.addresses: dict[str, str] = {}
+
+    def send_report(self, worker: PlainWorker, report: Report, sent_at: float) -> None:
+        task = asyncio.ensure_future(self._report(worker, report, sent_at))
+        self.pending.add(task)
+        task.add_done_callback(self.pending.discard)
+
+    async def _report(self, worker: PlainWorker, report: Report, sent_at: float) -> None:
+        assert self.session is not None
+        label = self.attached.setdefault(worker.name, random.choice(sorted(self.fronts)))
+        report = wire.convert(wire.decode(wire.encode(report), dict) | {"addr": self.addresses["workers"] + "/"
+                                                                        + worker.name}, Report)
+        try:
+            async with self.session.post(f"http://{self.fronts[label]}/agent/beat", data=wire.encode(report),
+                                         timeout=aiohttp.ClientTimeout(total=4)) as response:
+                data = await response.read()
+                if response.status == 200:
+                    orders = wire.decode(data, Orders)
+                    worker.answer(report.session, report.seq, orders.token, orders.signals, sent_at)
+                    if orders.signals:
+                        worker.next_report = min(worker.next_report, self.now + 0.1)
+                    return
+                leader = json.loads(data).get("harbormaster") if response.status == 421 else None
+        except (aiohttp.ClientError, TimeoutError):
+            leader = None
+        others = sorted(name for name in self.fronts if name != label)
+        self.attached[worker.name] = leader if leader in self.fronts else random.choice(others or [label])
+        worker.waiting_answer, worker.next_report = None, self.now + 0.1
+
+    async def commands(self, request: web.BaseRequest) -> web.Response:
+        raw = json.loads(await request.read())
+        worker = self.workers.get(request.path.split("/")[1])
+        if worker is None or worker.gone:
+            return web.json_response({}, status=404)
+        signals = wire.convert(raw["signals"], list[Signal])
+        refused = raw["helm"] < worker.token or raw["watch"] != worker.session
+        worker.direct(raw["helm"], raw["watch"], signals)
+        worker.next_report = min(worker.next_report, self.now + 0.1)
+        return web.Response(body=wire.encode(worker.report()), status=409 if refused else 200)
+
+    async def cloud(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        if self.cloud_down:
+            return web.json_response({"error": "trouble"}, status=503)
+        if request.path == "/machine_types":
+            return web.Response(body=wire.encode({"builds": list(self.types.values())}))
+        if request.path == "/rentals/return":
+            for name in json.loads(body)["bollards"]:
+                worker = self.workers.get(name)
+                if worker is not None:
+                    worker.gone = True
+                    worker.tasks.clear()
+            return web.json_response({})
+        if request.method == "POST":
+            raw = json.loads(body)
+            if raw["charter"] not in self.rentals_done:
+                record = RentalRecord(raw["build"], raw["harbor"], raw["driftwood"], raw["howMany"], 0.0)
+                self.rentals_done[raw["charter"]] = tuple(self.boot(record) for _ in range(raw["howMany"]))
+            return web.json_response({"bollards": self.rentals_done[raw["charter"]]})
+        rows = [{"nameId": worker.name, "addr": self.addresses["workers"] + "/" + worker.name,
+                 "build": worker.kind.name, "harbor": worker.zone, "driftwood": worker.spot, "bearing": "running",
+                 "ageS": 1.0} for worker in self.alive()]
+        return web.json_response({"bollards": rows, "truncated": False})
+
+    async def live(self) -> None:
+        """Let the workers' time pass."""
+        while True:
+            self.now = asyncio.get_running_loop().time()
+            for worker in list(self.workers.values()):
+                worker.step()
+            for _, task in self.on_machines():
+                self.check_cancelled(task.job.id)
+            await asyncio.sleep(0.02)
+
+
+async def serve(handler: Any, port: int) -> web.ServerRunner:
+    """Listen on a port."""
+    runner = web.ServerRunner(web.Server(handler, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    return runner
+
+
+class Site:
+    """Three controllers with everything around them."""
+
+    def __init__(self) -> None:
+        self.ports = {name: free_port() for name in (
+            "state", "cloud", "workers", "a-bind", "a-back", "b-bind", "b-back", "c-bind", "c-back")}
+        self.platforms = {label: parse_platform("test", self._raw(label)) for label in "abc"}
+        self.world = LiveWorld(self.platforms["a"])
+        self.store = StoreServer(self.world.store)
+        self.running: dict[str, asyncio.Task[None]] = {}
+        self.controllers: dict[str, Any] = {}
+
+    def _raw(self, label: str) -> dict[str, Any]:
+        raw = raw_settings()
+        raw |= {"label": label, "bind": f"127.0.0.1:{self.ports[label + '-bind']}",
+                "back": f"127.0.0.1:{self.ports[label + '-back']}",
+                "known": [{"label": other, "domain": "north", "address": f"127.0.0.1:{self.ports[other + '-back']}"}
+                          for other in "abc" if other != label]}
+        raw["external"] = {"cloud": f"127.0.0.1:{self.ports['cloud']}", "state": f"127.0.0.1:{self.ports['state']}"}
+        raw["deployment"]["workers"] |= {"report_s": 0.4, "lease_s": 8.0, "cancel_s": 20.0}
+        raw["deployment"]["cloud"] = {"rps": 50.0, "list_lag_s": 0.5}
+        raw["deployment"]["state"] |= {"rps": 2000.0, "write_rps": 500.0}
+        return raw
+
+    async def __aenter__(self) -> "Site":
+        self.world.session = aiohttp.ClientSession()
+        self.world.addresses["workers"] = f"127.0.0.1:{self.ports['workers']}"
+        self.runners = [await serve(self.store.handle, self.ports["state"]),
+                        await serve(self.world.cloud, self.ports["cloud"]),
+                        await serve(self.world.commands, self.ports["workers"])]
+        self.world.now = asyncio.get_running_loop().time()
+        self.clock = asyncio.ensure_future(self.world.live())
+        for label in "abc":
+            self.start(label)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.clock.cancel()
+        for label in list(self.running):
+            await self.kill(label)
+        await asyncio.gather(*self.world.pending, return_exceptions=True)
+        for runner in self.runners:
+            await runner.cleanup()
+        assert self.world.session is not None
+        await self.world.session.close()
+
+    def start(self, label: str) -> None:
+        """Start a controller."""
+        from driftcleat.controller import Controller
+        controller = Controller(self.platforms[label], Tuning())
+        self.controllers[label] = controller
+        self.running[label] = asyncio.ensure_future(controller.run())
+        self.world.fronts[label] = self.platforms[label].bind
+
+    async def kill(self, label: str) -> None:
+        """End a controller without a word."""
+        task = self.running.pop(label)
+        self.world.fronts.pop(label, None)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def leader(self) -> str | None:
+        """Return who leads for certain."""
+        return next((label for label in self.running if self.controllers[label].holds), None)
+
+    async def call(self, label: str, method: str, path: str, body: Any = None) -> tuple[int, Any, Any]:
+        """Send a user's request to one controller; return status, JSON and headers."""
+        assert self.world.session is not None
+        data = body if isinstance(body, (bytes, type(None))) else json.dumps(body).encode()
+        async with self.world.session.request(method, f"http://{self.platforms[label].bind}{path}",
+                                              data=data) as response:
+            text = await response.read()
+            return response.status, json.loads(text) if text else None, response.headers
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,213 @@
+"""Real controllers on loopback, with stand-ins for everything around them."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import pytest
+
+from driftcleat import wire
+from driftcleat.wire import peers
+
+from .samples import job, raw_job
+from .standins import Site, until
+
+
+def live(test: Callable[[Site], Awaitable[None]]) -> Callable[[], None]:
+    """Run a test with a site of its own."""
+    def run() -> None:
+        async def inside() -> None:
+            async with Site() as site:
+                await until(site.leader, "a leader")
+                leader = site.leader()
+                await until(lambda: all(site.controllers[label].leader == leader for label in site.running),
+                            "all know the leader")
+                await until(lambda: site.controllers[leader].term.cluster.types, "the machine types")
+                await test(site)
+        asyncio.run(inside())
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+async def accepted(site: Site, label: str, raw: dict[str, Any]) -> None:
+    """Submit until it is accepted, as users do."""
+    site.world.specs[raw["nameId"]] = job(int(raw["nameId"][4:]), **raw)
+
+    async def once() -> bool:
+        status, _, _ = await site.call(label, "POST", "/v1/jobs", raw)
+        assert status in (200, 201, 429, 503)
+        return status in (200, 201)
+    await until(once, "accepted")
+
+
+async def state_of(site: Site, label: str, job_id: str) -> str | None:
+    """Ask for a job's state."""
+    try:
+        status, body, _ = await site.call(label, "GET", f"/v1/jobs/{job_id}")
+    except aiohttp.ClientError:
+        return None
+    return body["bearing"] if status == 200 else None
+
+
+async def reaches(site: Site, label: str, job_id: str, state: str) -> None:
+    """Poll until a job has a state."""
+    async def once() -> bool:
+        return await state_of(site, label, job_id) == state
+    await until(once, f"{job_id} {state}")
+
+
+@live
+async def test_users_are_served_by_any_controller(site: Site) -> None:
+    followers = [label for label in "abc" if label != site.leader()]
+    raw = raw_job(1, voyageS=0.5)
+    await accepted(site, followers[0], raw)
+    status, body, _ = await site.call(followers[1], "POST", "/v1/jobs", raw)
+    assert (status, body["nameId"]) == (200, "req-000001")
+    for label in "abc":
+        await reaches(site, label, "req-000001", "done")
+    # A repeat of any form is known by its id, whatever else it says.
+    status, body, _ = await site.call(followers[0], "POST", "/v1/jobs", {"nameId": "req-000001", "crew": 7})
+    assert (status, body["bearing"]) == (200, "done")
+    status, body, _ = await site.call(followers[0], "POST", "/v1/jobs/req-000001/cancel")
+    assert (status, body["bearing"]) == (200, "done")
+    await accepted(site, followers[0], raw_job(2, rig="daemon", hands=1))
+    await reaches(site, followers[0], "req-000002", "running")
+    status, body, _ = await site.call(followers[1], "POST", "/v1/jobs/req-000002/cancel")
+    assert (status, body["bearing"]) == (200, "cancelled")
+    await until(lambda: not site.world.on_machines(), "all is gone")
+    for label in "abc":
+        assert await state_of(site, label, "req-000002") == "cancelled"
+        assert (await site.call(label, "GET", "/ready"))[0] == 200
+
+
+@live
+async def test_bad_input_is_answered_at_once_and_changes_nothing(site: Site) -> None:
+    leader = site.leader()
+    assert leader is not None
+    for label in "abc":
+        for body, field in ((b"{", "body"), (b"[]", "body"), (b"\xff\xfe", "body"), ({"nameId": "x"}, "nameId"),
+                            (raw_job(5, hands=0), "hands"), (raw_job(5, rig="swarm"), "rig")):
+            status, answer, _ = await site.call(label, "POST", "/v1/jobs", body)
+            assert (status, answer["field"]) == (400, field)
+        assert (await site.call(label, "POST", "/v1/jobs", b" " * 70_000))[0] == 413
+        assert (await site.call(label, "POST", "/v1/jobs", raw_job(6, crew="green")))[0] == 422
+        assert (await site.call(label, "POST", "/v1/jobs", raw_job(6, cores=99.0)))[0] == 422
+        assert (await site.call(label, "GET", "/v1/jobs/req-000006"))[0] == 404
+        assert (await site.call(label, "GET", "/v1/jobs/nonsense"))[0] == 404
+        assert (await site.call(label, "POST", "/v1/jobs/req-000006/cancel"))[0] == 404
+        assert (await site.call(label, "GET", "/v1/jobs"))[0] == 405
+        assert (await site.call(label, "DELETE", "/v1/jobs/req-000006"))[0] == 405
+        assert (await site.call(label, "GET", "/nowhere"))[0] == 404
+    assert (await site.call(leader, "POST", "/agent/beat", b"{}"))[0] == 400
+    controller = site.controllers[leader]
+    assert controller.metrics.bad_reports == 1 and not controller.term.cluster.machines
+    assert (await controller._peer(b'["shutdown"]')).status == 400 and controller.metrics.bad_peer_messages == 1
+
+
+@live
+async def test_an_accepted_job_outlives_every_controller(site: Site) -> None:
+    await accepted(site, "a", raw_job(1, hands=3, voyageS=2.0))
+    await accepted(site, "a", raw_job(2, rig="group", hands=2, voyageS=2.0, crew="blue"))
+    await until(lambda: site.world.on_machines(), "work has begun")
+    for label in "abc":
+        await site.kill(label)
+    for label in "abc":
+        site.start(label)
+    await until(site.leader, "a leader again")
+    for number in (1, 2):
+        await reaches(site, "b", f"req-{number:06d}", "done")
+
+
+@live
+async def test_a_leader_that_dies_is_replaced_and_a_restarted_one_joins(site: Site) -> None:
+    first = site.leader()
+    assert first is not None
+    await accepted(site, first, raw_job(1, hands=2, voyageS=3.0))
+    token = site.controllers[first].election.token
+    await site.kill(first)
+    second = await until(site.leader, "another leader")
+    assert second != first and site.controllers[second].election.token > token
+    await reaches(site, second, "req-000001", "done")
+    site.start(first)
+    await reaches(site, first, "req-000001", "done")
+    status, answer, _ = await site.call(first, "POST", "/agent/beat", {})
+    assert (status, answer) == (421, {"harbormaster": second})
+
+
+@live
+async def test_a_refusal_seen_by_the_leader_alone_hands_over(site: Site) -> None:
+    first = site.leader()
+    assert first is not None
+    await accepted(site, first, raw_job(1, rig="daemon", hands=1))
+    await reaches(site, first, "req-000001", "running")
+    session = site.controllers[first].store.session
+    session.headers["X-Sender"] = first
+    site.store.down_for.add(first)
+    second = await until(lambda: site.leader() if site.leader() != first else None, "another leader")
+    site.store.down_for.clear()
+    attempts = {task.attempt for _, task in site.world.on_machines()}
+    assert await state_of(site, second, "req-000001") in ("pending", "running")
+    await reaches(site, second, "req-000001", "running")
+    assert {task.attempt for _, task in site.world.on_machines()} == attempts, "no work was lost"
+
+
+@live
+async def test_an_outage_of_the_store_is_told_at_once_and_costs_no_work(site: Site) -> None:
+    leader = site.leader()
+    assert leader is not None
+    await accepted(site, leader, raw_job(1, rig="daemon", hands=1))
+    await reaches(site, leader, "req-000001", "running")
+    before = [(worker.name, task.attempt) for worker, task in site.world.on_machines()]
+    site.store.down_for.add("all")
+    await until(lambda: site.leader() is None, "unsure")
+    for label in "abc":
+        status, _, headers = await site.call(label, "POST", "/v1/jobs", raw_job(2))
+        assert status == 503 and int(headers["Retry-After"]) >= 1
+        assert (await site.call(label, "GET", "/v1/jobs/req-000009"))[0] == 503, "nobody can say it is unknown"
+    site.store.heal()
+    await until(site.leader, "a leader again")
+    assert [(worker.name, task.attempt) for worker, task in site.world.on_machines()] == before
+    await accepted(site, leader, raw_job(2, voyageS=0.5))
+    await reaches(site, leader, "req-000002", "done")
+
+
+@live
+async def test_a_cloud_that_is_down_delays_and_does_not_lose(site: Site) -> None:
+    site.world.cloud_down = True
+    await accepted(site, "a", raw_job(1, voyageS=0.5))
+    assert await state_of(site, "a", "req-000001") == "pending"
+    site.world.cloud_down = False
+    await reaches(site, "a", "req-000001", "done")
+
+
+@live
+async def test_a_full_queue_is_told_to_come_back(site: Site) -> None:
+    leader = site.leader()
+    assert leader is not None
+    term = site.controllers[leader].term
+    term.tuning = dataclasses.replace(term.tuning, queue=0.0)
+    status, _, headers = await site.call(leader, "POST", "/v1/jobs", raw_job(1))
+    assert status == 429 and int(headers["Retry-After"]) >= 1
+
+
+@live
+async def test_operators_see_a_running_controller(site: Site) -> None:
+    leader = site.leader()
+    assert leader is not None
+    controller = site.controllers[leader]
+    answer = await controller._handle_back("GET", "/status", b"")
+    status = wire.decode(answer.body, dict)
+    assert status["role"] == "leading" and status["leader"] == leader and status["batch"]["count"] >= 0
+    view = wire.decode((await controller._peer(wire.encode(peers.Ask("x")))).body, peers.View)
+    assert view.leader == leader and 0 <= view.served_age_s < 5
+
+
+def test_the_live_decorator_reports_failures() -> None:
+    """The other tests here must be able to fail."""
+    @live
+    async def fails(site: Site) -> None:
+        assert site.leader() is None
+    with pytest.raises(AssertionError):
+        fails()
