--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -152,7 +152,9 @@
             if thin is not None:
                 term.drain(thin, "its replicas fit elsewhere")
                 self.controller.kick()
-            if plan.rentals:
+            # Requests that wait for the cloud's rate would be many small ones: let the need add up instead.
+            waiting = len(term.open_rentals) + len(term.new_rentals)
+            if plan.rentals and waiting < max(1.0, self.platform.cloud_rps):
                 log.info("renting %s", plan.rentals)
                 term.rent(plan)
                 self.controller.kick()
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -42,21 +42,21 @@
 
 
 class Bucket:
-    """Permits `rate` units a second with bursts of one second's worth."""
+    """Permits `rate` units a second with bursts worth `burst_s`."""
 
-    def __init__(self, rate: float, clock: Callable[[], float]) -> None:
-        self.rate, self.clock = rate, clock
-        self.level, self.at = rate, clock()
+    def __init__(self, rate: float, clock: Callable[[], float], burst_s: float = 1.0) -> None:
+        self.rate, self.clock, self.most = rate, clock, rate * burst_s
+        self.level, self.at = self.most, clock()
 
     def _fill(self) -> None:
         now = self.clock()
-        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.level = min(self.most, self.level + (now - self.at) * self.rate)
         self.at = now
 
     def delay(self, units: float) -> float:
         """Return how long to wait until `units` are there (a request above the burst waits for a full one)."""
         self._fill()
-        return max(0.0, (min(units, self.rate) - self.level) / self.rate)
+        return max(0.0, (min(units, self.most) - self.level) / self.rate)
 
     def take(self, units: float) -> None:
         """Use up `units`; the level may go below zero."""
