--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -97,15 +97,9 @@
         if term is None:
             return self.unavailable("no leader")
         # A job accepted before is known whatever its repeat looks like, so it is looked up first.
-        view = term.lookup(job_id)
-        if view is None:
-            try:
-                view = await self._final(job_id)
-            except StoreError:
-                return self.unavailable("the state service does not answer")
-            view = view or term.lookup(job_id)
-        if not self._still(term):
-            return self.unavailable("leadership changed")
+        view = await self._known(term, job_id)
+        if isinstance(view, Answer):
+            return view
         if view is not None:
             return Answer(200, wire.encode(JobView(view.id, view.state)))
         try:
@@ -124,6 +118,17 @@
             return self.unavailable("not decided")
         return Answer(201, wire.encode(JobView(view.id, view.state)))
 
+    async def _known(self, term: Term, job_id: str) -> JobView | Answer | None:
+        """Return a job's state from memory or the store, None if nobody knows it, or why that cannot be said."""
+        view = term.lookup(job_id)
+        if view is None:
+            try:
+                view = await self._final(job_id)
+            except (StoreError, wire.WireError):
+                return self.unavailable("the state service does not answer")
+            view = view or term.lookup(job_id)
+        return view if self._still(term) else self.unavailable("leadership changed")
+
     async def _decide(self, term: Term, ticket: Ticket, submission: bool) -> JobView | None:
         """Wait until a request's batch is committed; None if that is given up."""
         future: asyncio.Future[JobView | None] = asyncio.get_running_loop().create_future()
@@ -209,17 +214,11 @@
         term = self.lead.term
         if term is None:
             return self.unavailable("no leader")
-        view = term.lookup(job_id)
+        view = await self._known(term, job_id)
+        if isinstance(view, Answer):
+            return view
         if view is None:
-            try:
-                view = await self._final(job_id)
-            except StoreError:
-                return self.unavailable("the state service does not answer")
-            view = view or term.lookup(job_id)
-            if not self._still(term):
-                return self.unavailable("leadership changed")
-            if view is None:
-                return Answer.error(404, "no such job")
+            return Answer.error(404, "no such job")
         if view.state not in FINAL:
             if term.queue_full:
                 return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -12,7 +12,7 @@
 from driftcleat.api import Answer, UserApi, serve
 from driftcleat.fleet.cloud import CloudClient
 from driftcleat.fleet.keeper import FleetKeeper
-from driftcleat.leadership import Election, Role
+from driftcleat.leadership import Election
 from driftcleat.metrics import Metrics
 from driftcleat.model import Cluster
 from driftcleat.peers import PeerClient
@@ -415,5 +415,3 @@
     job = term.cluster.jobs.get(key[0])
     return job is not None and job.state.value == "cancelled"
 
-
-__all__ = ["Controller", "Role"]
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -1,6 +1,7 @@
 """The cloud's client: pooled connections, a time-out on every call, its rate kept on our side."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -10,6 +11,8 @@
 from driftcleat.store.client import Bucket
 from driftcleat.wire import cloud as messages
 
+log = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 
@@ -28,6 +31,7 @@
                  clock: Callable[[], float]) -> None:
         self.session, self.base, self.timeout_s, self.clock = session, f"http://{address}", timeout_s, clock
         # The cloud permits bursts worth two seconds.
+        self.malformed = 0
         self.requests = Bucket(rps * 0.9, clock, burst_s=2.0)
 
     async def _call(self, method: str, path: str, body: bytes | None, kind: type[T]) -> T:
@@ -47,6 +51,8 @@
         try:
             return wire.decode(data, kind)
         except wire.WireError as error:
+            self.malformed += 1
+            log.warning("cloud: malformed answer: %s", error)
             raise CloudError(f"malformed answer: {error}") from None
 
     async def types(self) -> tuple[messages.MachineType, ...]:
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -29,7 +29,6 @@
         self.listed_at = float("-inf")
         self.heard_at = float("-inf")
         self.returning: set[str] = set()
-        self.listed: set[str] = set()
         self.missing: dict[str, float] = {}
         self.greeted = False
         self.wake = asyncio.Event()
@@ -39,7 +38,7 @@
         self.types_at = self.listed_at = float("-inf")
         self.types_stored = types_stored
         self.heard_at = self.clock()
-        self.returning, self.listed, self.missing = set(), set(), {}
+        self.returning, self.missing = set(), {}
         self.greeted = False
 
     def loops(self) -> list[Callable[[], Awaitable[None]]]:
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -62,7 +62,6 @@
         self.lease = LeaseClock(self.ttl_s, tuning.drift)
         self.token = 0
         self.leader: str | None = None
-        self.leader_seen_at = float("-inf")
         self.leader_token = 0
         self.life = f"{rng.getrandbits(64):016x}"
         self.stand_back_until = float("-inf")
@@ -145,7 +144,6 @@
         if label != self.leader:
             log.info("leader is %s (token %d)", label, item.version)
         self.leader, self.leader_token = label, item.version
-        self.leader_seen_at = self.clock()
 
     async def _follow(self) -> None:
         page = await self.store.page(LEADER, None, 1)
--- a/driftcleat/metrics.py
+++ b/driftcleat/metrics.py
@@ -42,7 +42,8 @@
             "lease_left_s": round(election.lease.left(controller.clock()), 3),
             "build": self.build_ms.summary(), "batch": self.batch_ms.summary(), "users": self.user_ms.summary(),
             "bad_reports": self.bad_reports, "stale_reports": self.stale_reports,
-            "bad_peer_messages": self.bad_peer_messages,
+            "bad_peer_messages": self.bad_peer_messages, "bad_store_answers": controller.store.malformed,
+            "bad_cloud_answers": controller.cloud.malformed,
         }
         if term is not None:
             machines: dict[str, int] = {}
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -55,7 +55,6 @@
         self.ghosts: dict[tuple[str, int], str] = {}
         self.retry_at: dict[str, float] = {}
         self.failures: dict[str, int] = {}
-        self.rejected = 0
         # Tasks of machines that have not reported in this term, by machine name.
         self.waiting: dict[str, dict[tuple[str, int], Place]] = {}
         # Images that machines had under earlier leaders, until they report.
@@ -99,7 +98,6 @@
             last = (known.report.session, known.report.seq)
             if (report.session, report.seq) <= last:
                 # A report held back by a cut: its task list is as old as itself.
-                self.rejected += 1
                 return None
         machine = self.adopt(report.machine, report.type, report.zone, report.spot, report.addr, now)
         if machine.state is MachineState.BOOTING:
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -1,6 +1,7 @@
 """The state service's client: pooled connections, a time-out on every call, its limits kept on our side."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
@@ -10,6 +11,8 @@
 from driftcleat import wire
 from driftcleat.wire import state as messages
 
+log = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 
@@ -63,13 +66,6 @@
         self._fill()
         self.level -= units
 
-    def ready(self, units: float) -> bool:
-        """Use up `units` if they are there."""
-        if self.delay(units) > 0:
-            return False
-        self.take(units)
-        return True
-
 
 @dataclass(frozen=True, slots=True)
 class StoreLimits:
@@ -90,6 +86,7 @@
         self.writes = Bucket(limits.write_rps * 0.9, clock)
         self.served_at: float | None = None
         self.refused_at: float | None = None
+        self.malformed = 0
 
     async def _call(self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None,
                     params: dict[str, str] | None = None, urgent: bool = False) -> tuple[int, bytes]:
@@ -117,15 +114,28 @@
         if status == 400:
             if b"no such lease" in data:
                 raise NoLease("no such lease")
-            raise Malformed(f"{method} {path}: {data[:200]!r}")
+            raise self._bad(f"{method} {path}: {data[:200]!r}")
         return status, data
 
+    def _bad(self, why: str) -> Malformed:
+        self.malformed += 1
+        log.warning("state service: %s", why)
+        return Malformed(why)
+
+    def _expect(self, status: int, data: bytes, kind: type[T]) -> T:
+        if status != 200:
+            raise self._bad(f"status {status}")
+        try:
+            return wire.decode(data, kind)
+        except wire.WireError as error:
+            raise self._bad(str(error)) from None
+
     async def get(self, key: str) -> messages.Item | None:
         """Return a key, or None when it does not exist."""
         status, data = await self._call("GET", f"/store/{key}")
         if status == 404:
             return None
-        return _expect(status, data, messages.Item)
+        return self._expect(status, data, messages.Item)
 
     async def page(self, prefix: str, after: str | None, limit: int) -> messages.Page:
         """Return a page of the keys under a prefix."""
@@ -133,7 +143,7 @@
         if after is not None:
             params["from"] = after
         status, data = await self._call("GET", "/store", params=params, timeout_s=self.limits.timeout_s * 3)
-        return _expect(status, data, messages.Page)
+        return self._expect(status, data, messages.Page)
 
     async def read_all(self, prefix: str, limit: int = 500) -> list[messages.Item]:
         """Return all keys under a prefix."""
@@ -157,14 +167,14 @@
         self.writes.take(changes)
         status, data = await self._call("POST", "/txn", body)
         if status == 409:
-            raise Conflict(_expect(200, data, messages.TxnFailed).failed)
-        return _expect(status, data, messages.TxnDone).revision
+            raise Conflict(self._expect(200, data, messages.TxnFailed).failed)
+        return self._expect(status, data, messages.TxnDone).revision
 
     async def grant(self, ttl_s: float) -> int:
         """Return a new lease."""
         body = wire.encode(messages.LeaseRequest(round(ttl_s * 1000)))
         status, data = await self._call("POST", "/leases", body, urgent=True)
-        return _expect(status, data, messages.LeaseAnswer).lease
+        return self._expect(status, data, messages.LeaseAnswer).lease
 
     async def renew(self, lease: int, timeout_s: float) -> None:
         """Give a lease its full time again; `NoLease` once it has ended."""
@@ -172,7 +182,7 @@
         if status == 404:
             raise NoLease(f"lease {lease} has ended")
         if status != 200:
-            raise Malformed(f"renewal got status {status}")
+            raise self._bad(f"renewal got status {status}")
 
     async def end(self, lease: int) -> None:
         """End a lease at once."""
@@ -185,16 +195,7 @@
                                         timeout_s=wait_s + self.limits.timeout_s)
         if status == 410:
             return None
-        return _expect(status, data, messages.WatchAnswer)
-
-
-def _expect(status: int, data: bytes, kind: type[T]) -> T:
-    if status != 200:
-        raise Malformed(f"status {status}")
-    try:
-        return wire.decode(data, kind)
-    except wire.WireError as error:
-        raise Malformed(str(error)) from None
+        return self._expect(status, data, messages.WatchAnswer)
 
 
 __all__ = ["Bucket", "Conflict", "Malformed", "NoLease", "Refused", "StoreClient", "StoreError", "StoreLimits",
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -42,7 +42,6 @@
 
     name: str
     record: RentalRecord
-    sent: bool = False
 
 
 @dataclass(slots=True)
@@ -685,7 +684,8 @@
         """Return machines that still may hold a cancelled task and must be gone before its time is up."""
         names: set[str] = set()
         wall = self.wall()
-        wait = self.platform.cancel_s * self.tuning.fence
+        # Another controller's clock noted the cancellation: both may be off.
+        wait = max(0.0, self.platform.cancel_s * self.tuning.fence - 2 * self.platform.clock_off_s)
         for job in self.cluster.jobs.values():
             if job.state is JobState.CANCELLED and wall - job.cancelled_at > wait:
                 names.update(place.machine for place in job.places.values())
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -284,7 +284,8 @@
     sent = 0
     for _ in range(500):
         now[0] += 0.01
-        while bucket.ready(1):
+        while bucket.delay(1) <= 0:
+            bucket.take(1)
             sent += 1
     assert 50 <= sent <= 61
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers; none is part of the service."""
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,167 @@
+"""Load test: real controller processes at the brief's full size, with everything around them stood in for.
+
+    python -m tools.load [--machines 104] [--jobs 300] [--seconds 60]
+
+Prints processor share, memory and sockets of each controller. The stand-ins run in this process, on loopback.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import os
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from driftcleat.settings import Team
+from driftcleat.store.records import RentalRecord
+from driftcleat.wire.users import Submission
+from tests.samples import job, raw_job
+from tests.standins import Site, until
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def toml(site: Site, label: str) -> str:
+    """Return the settings file of one controller."""
+    platform = site.platforms[label]
+    peers = "".join(f'[[known]]\nlabel = "{peer.label}"\ndomain = "{peer.zone}"\naddress = "{peer.address}"\n'
+                    for peer in platform.peers)
+    return f"""label = "{label}"
+domain = "north"
+bind = "{platform.bind}"
+back = "{platform.back}"
+{peers}
+[external]
+cloud = "{platform.cloud}"
+state = "{platform.state}"
+[deployment]
+zones = ["north", "south"]
+[[deployment.teams]]
+name = "red"
+[deployment.workers]
+report_s = 3.0
+lease_s = 17.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 42.0
+[deployment.state]
+rps = 200.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 24
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 10.0
+[deployment.resources]
+core_share = 0.288
+memory_mb = 146.0
+fd_limit = 1000
+"""
+
+
+class Process(Site):
+    """A site whose controllers are processes of their own."""
+
+    def start(self, label: str) -> None:
+        path = Path(tempfile.gettempdir()) / f"driftcleat-load-{os.getpid()}-{label}.toml"
+        path.write_text(toml(self, label))
+        self.paths = [*getattr(self, "paths", []), path]
+        self.running[label] = asyncio.ensure_future(self._run(label, path))
+        self.world.fronts[label] = self.platforms[label].bind
+
+    async def _run(self, label: str, path: Path) -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, str(ROOT / "run.py"), "--config", str(path), env={**os.environ, "LOG_LEVEL": "error"})
+        self.controllers[label] = process
+        try:
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+def usage(pid: int) -> tuple[float, float, int]:
+    """Return processor seconds, resident MB and open descriptors."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return (ticks / os.sysconf("SC_CLK_TCK"), int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 2**20,
+            len(os.listdir(f"/proc/{pid}/fd")))
+
+
+async def users(site: Site, specs: list[Submission], stop: float) -> list[float]:
+    """Submit all jobs over half the time, and poll each every 5 s; return the submissions' latencies."""
+    taken: list[float] = []
+
+    async def user(number: int, spec: Submission) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(number * (stop - loop.time()) / 2 / len(specs))
+        label = random.choice("abc")
+        began = loop.time()
+        while loop.time() < stop:
+            try:
+                status, _, _ = await site.call(label, "POST", "/v1/jobs", raw_job(int(spec.id[4:]), **CHANGES))
+                if status in (200, 201):
+                    break
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(1)
+        taken.append(loop.time() - began)
+        while loop.time() < stop:
+            await asyncio.sleep(5)
+            try:
+                await site.call(label, "GET", f"/v1/jobs/{spec.id}")
+            except aiohttp.ClientError:
+                pass
+
+    await asyncio.gather(*(user(number, spec) for number, spec in enumerate(specs)))
+    return taken
+
+
+CHANGES = {"hands": 2, "voyageS": 20.0, "imageGb": 0.0}
+
+
+async def run(machines: int, jobs: int, seconds: float) -> None:
+    """Play the load and print what it cost."""
+    async with Process() as site:
+        for number in range(machines):
+            site.world.boot(RentalRecord("big", "north" if number % 2 else "south", False, 1, 0.0))
+        await until(lambda: len(site.controllers) == 3, "three processes")
+        free = Team("red", 0.0, 0.0, 0.0, 0.0)
+        site.world.platform = dataclasses.replace(site.world.platform, teams={"red": free}, report_s=3.0,
+                                                  lease_s=17.0)
+        specs = [job(number, **CHANGES) for number in range(1, jobs + 1)]
+        site.world.specs = {spec.id: spec for spec in specs}
+        await asyncio.sleep(5)
+        before = {label: usage(process.pid) for label, process in site.controllers.items()}
+        began = time.monotonic()
+        taken = sorted(await users(site, specs, asyncio.get_running_loop().time() + seconds))
+        spent = time.monotonic() - began
+        median, late = (taken[int(len(taken) * share)] * 1e3 for share in (0.5, 0.99))
+        print(f"{machines} machines, {jobs} jobs, {spent:.0f} s; submissions p50 {median:.0f} ms, p99 {late:.0f} ms; "
+              f"tasks started {site.world.started}")
+        for label, process in sorted(site.controllers.items()):
+            cpu, memory, sockets = usage(process.pid)
+            print(f"controller {label}: {(cpu - before[label][0]) / spent:.1%} of a core, {memory:.0f} MB, "
+                  f"{sockets} descriptors")
+        for path in site.paths:
+            path.unlink(missing_ok=True)
+
+
+def main() -> None:
+    """Read the arguments and run."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--machines", type=int, default=104)
+    parser.add_argument("--jobs", type=int, default=300)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    asked = parser.parse_args()
+    asyncio.run(run(asked.machines, asked.jobs, asked.seconds))
+
+
+if __name__ == "__main__":
+    main()
