--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -60,6 +60,7 @@
         # Images that machines had under earlier leaders, until they report.
         self.known_images: dict[str, list[tuple[str, float]]] = {}
         self.on_exit: Callable[[Machine, Job, str], None] = lambda machine, job, why: None
+        self.on_image: Callable[[Machine], None] = lambda machine: None
         self.on_up: Callable[[], None] = lambda: None
         self.on_notice: Callable[[Machine, float], None] = lambda machine, notice_s: None
         for job in jobs.values():
@@ -79,6 +80,7 @@
             self.machines[name] = machine
             for image, size_gb in self.known_images.pop(name, ()):
                 machine.note_image(image, size_gb)
+                machine.fetched.add(image)
             for key, place in self.waiting.pop(name, {}).items():
                 job = self.jobs.get(key[0])
                 if job is not None and job.places.get(key[1]) == place:
@@ -138,6 +140,10 @@
                 elif machine.phases.get(split) != task.state:
                     machine.phases[split] = task.state
                     log.debug("task %s on %s: %s", task.task, machine.name, task.state)
+                    image = self.image_of(split)
+                    if task.state != wire_workers.FETCHING and image is not None and image not in machine.fetched:
+                        machine.fetched.add(image)
+                        self.on_image(machine)
         machine.reported = reported
         for key in [key for key, name in self.ghosts.items() if name == machine.name and key not in live]:
             del self.ghosts[key]
@@ -148,6 +154,11 @@
         return any((key[0], key[1], place.attempt) not in machine.reported
                    for key, place in machine.tasks.items()) or self.news(machine)
 
+    def image_of(self, key: tuple[str, int]) -> str | None:
+        """Return the image of a task whose job is known."""
+        job = self.jobs.get(key[0])
+        return job.spec.image if job is not None else None
+
     def forget_machine(self, machine: Machine, now: float) -> None:
         """The cloud has confirmed that a machine and all on it is gone."""
         if machine.state is not MachineState.RETURNING:
@@ -286,7 +297,7 @@
                 else:
                     waiting[key] = new
             elif new is None:
-                machine.drop(key, job.spec, now)
+                machine.drop(key, job.spec, now, self.image_of)
             else:
                 machine.add(key, new, job.spec)
         for job_id in batch.heads:
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -1,6 +1,7 @@
 """Machines as the leader sees them, with the one function for their state changes."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from enum import StrEnum
 
 from driftcleat.wire.cloud import MachineType
@@ -35,9 +36,9 @@
 class Machine:
     """One machine. What is committed about it is `tasks`; all else is learnt from reports and lists."""
 
-    __slots__ = ("addr", "changed_at", "cpus", "failed_jobs", "full_until", "gpus", "heard_at", "idle_since",
-                 "images", "memory_gb", "name", "offered", "phases", "rented_at", "report", "reported", "seen",
-                 "spot", "state", "tasks", "trusted", "type", "zone")
+    __slots__ = ("addr", "changed_at", "cpus", "failed_jobs", "fetched", "full_until", "gpus", "heard_at",
+                 "idle_since", "images", "memory_gb", "name", "offered", "phases", "rented_at", "report",
+                 "reported", "seen", "spot", "state", "tasks", "trusted", "type", "zone")
 
     def __init__(self, name: str, kind: MachineType | None, zone: str, spot: bool, addr: str, now: float) -> None:
         self.name, self.type, self.zone, self.spot, self.addr = name, kind, zone, spot, addr
@@ -49,6 +50,8 @@
         self.cpus = self.gpus = self.memory_gb = 0.0
         self.tasks: dict[TaskKey, Place] = {}
         self.images: OrderedDict[str, float] = OrderedDict()
+        # Images of which some task was seen past its fetch; the others in `images` may yet be given up.
+        self.fetched: set[str] = set()
         self.report: Report | None = None
         self.trusted = False
         # What the newest report says of each attempt: (job, index, attempt) -> state.
@@ -69,14 +72,20 @@
             self.note_image(spec.image, spec.image_gb)
         self.tasks[key] = place
 
-    def drop(self, key: TaskKey, spec: Submission, now: float) -> None:
-        """Stop counting a task that is proven off."""
+    def drop(self, key: TaskKey, spec: Submission, now: float, others: Callable[[TaskKey], str | None]) -> None:
+        """Stop counting a task that is proven off; `others` tells the image of a task by its key.
+
+        A worker gives a fetch up when no task waits for it any more: such an image is not here. Guards against
+        taking it for cached, seen in an incident: work was displaced for a machine that lacked the image.
+        """
         place = self.tasks.pop(key, None)
         if place is None:
             return
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
+        if spec.image not in self.fetched and all(others(other) != spec.image for other in self.tasks):
+            self.images.pop(spec.image, None)
         self.changed_at = now
         attempt = (key[0], key[1], place.attempt)
         self.offered.pop(attempt, None)
@@ -93,7 +102,7 @@
         self.images.move_to_end(image)
         if self.type is not None:
             while len(self.images) > 1 and sum(self.images.values()) > self.type.cache_gb:
-                self.images.popitem(last=False)
+                self.fetched.discard(self.images.popitem(last=False)[0])
 
 
 def change_machine(machine: Machine, to: MachineState) -> None:
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -27,6 +27,8 @@
                                                           "image, of a machine's boot time")
     evict: float = _ratio("placement", 0.5, 0.0, 100.0, "loss taken to start where an image is, of what fetching it "
                                                         "costs")
+    refetch: float = _ratio("placement", 0.25, 0.0, 1.0, "part of a running task's fetch that its stop is reckoned "
+                                                         "to cost")
     scan: float = _ratio("placement", 1.67, 0.2, 20.0, "pause between scans, of the report interval")
     answer: float = _ratio("placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, "
                                                         "of the report interval")
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -91,6 +91,7 @@
         self.image_claims: set[str] = set()
         cluster.on_exit = self._note_exit
         cluster.on_up = self.note_room
+        cluster.on_image = self._note_images
         cluster.on_notice = lambda machine, notice_s: self.drain(machine, f"notice of {notice_s:.1f} s")
         for job in cluster.jobs.values():
             self.arrivals.note(job.spec, now - max(0.0, wall() - job.submitted))
@@ -177,8 +178,6 @@
             elif new.stop is not None and old is not None:
                 self.urgent.add(new.machine)
         self.garbage.extend(garbage)
-        for name in self.in_flight:
-            self._note_images(name)
         # A batch under way may have put a task where meanwhile a drain began.
         self.check_drains = self.check_drains or any(
             machine.state is MachineState.DRAINING for machine in self.cluster.machines.values())
@@ -187,15 +186,13 @@
         for call in batch.after:
             call()
 
-    def _note_images(self, name: str) -> None:
+    def _note_images(self, machine: Machine) -> None:
         """Keep what a machine has cached: a new leader would otherwise fetch it all again elsewhere."""
-        machine = self.cluster.machines.get(name)
-        if machine is None:
-            return
-        images = tuple(sorted(machine.images))
-        if images != self.image_notes.get(name):
-            self.image_notes[name] = images
-            self.notes[MACHINES + name] = MachineRecord(list(machine.images.items()))
+        images = [(image, size_gb) for image, size_gb in machine.images.items() if image in machine.fetched]
+        names = tuple(sorted(image for image, _ in images))
+        if names != self.image_notes.get(machine.name):
+            self.image_notes[machine.name] = names
+            self.notes[MACHINES + machine.name] = MachineRecord(images)
 
     def forget_images(self, name: str) -> None:
         """A machine is gone; so is what it had cached."""
@@ -412,7 +409,8 @@
         if kind is None:
             return False
         fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-9) * _size(spec)
-        cached = [room.name for room in work.rooms if room.busy and spec.image in room.images]
+        cached = [room.name for room in work.rooms if room.busy and spec.image in room.images
+                  and spec.image not in room.fetching]
         if not self._preempt(batch, job, work, guaranteed, now, cached, fetch * self.tuning.evict):
             return False
         self.image_claims.add(job.id)
@@ -461,7 +459,7 @@
                         or (other.is_gang and other.spec.tasks > 1)):
                     continue
                 if _may_displace(job, other, guaranteed):
-                    found.append(Victim(other, index, self._loss(other)))
+                    found.append(Victim(other, index, self._loss(other, machine, (job_id, index))))
             return found
 
         plan = plan_preemption(job.spec, work.rooms, victims_of, machines)
@@ -483,13 +481,20 @@
         room.cpus = room.gpus = room.memory_gb = -1.0
         return True
 
-    def _loss(self, job: Job) -> float:
-        """Estimate what a stop loses, in seconds of all that the task takes."""
+    def _loss(self, job: Job, machine: Machine, key: tuple[str, int]) -> float:
+        """Estimate what a stop loses, in seconds of all that the task takes.
+
+        A fetch under way is lost whole; so may be what a running task has fetched, if it goes elsewhere.
+        """
         spec = job.spec
         size = _size(spec)
         if spec.kind is Kind.SERVICE:
             return size * 1e4
-        again = self.platform.report_s * 2
+        rate = machine.type.fetch_gb_per_s if machine.type is not None else 1.0
+        fetch_s = spec.image_gb / max(rate, 1e-9)
+        if machine.phases.get(key, FETCHING) == FETCHING:
+            return size * (self.platform.report_s * 2 + fetch_s)
+        again = self.platform.report_s * 2 + fetch_s * self.tuning.refetch
         return size * (again + (spec.save_s if spec.checkpoint_s > 0 else spec.estimate_s))
 
     # -- fleet --------------------------------------------------------------------------------------------
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -369,8 +369,8 @@
             machine.phases[key] = "running"
     assert term.thinned(now[0]) is None, "nothing is thin: one is full, the other more than half used"
     for key in list(spare.tasks)[:2]:
-        spare.drop(key, cluster.jobs[key[0]].spec, 0.0)
-    full.drop(next(iter(full.tasks)), cluster.jobs["req-000004"].spec, 0.0)
+        spare.drop(key, cluster.jobs[key[0]].spec, 0.0, cluster.image_of)
+    full.drop(next(iter(full.tasks)), cluster.jobs["req-000004"].spec, 0.0, cluster.image_of)
     assert term.thinned(now[0]) is None, "the other machine is empty: moving there would gain nothing"
     full.add(("req-000001", 0), Place("vm-2", "north", 1), cluster.jobs["req-000001"].spec)
     full.phases[("req-000001", 0)] = "running"
@@ -378,3 +378,23 @@
     full.images.clear()
     spare.images.clear()
     assert term.thinned(now[0]) is None, "a move must not wait for a fetch"
+
+
+def test_an_image_whose_fetch_was_given_up_is_not_taken_for_cached() -> None:
+    """Seen in an incident: work was displaced on a machine for an image that it had never finished fetching."""
+    now = [0.0]
+    term = make_term(now)
+    attempt = placed(term, hands=1).places[0].attempt
+    machine = term.cluster.machines["vm-1"]
+    assert "img-1" in machine.images
+    term.cluster.observe(report(2, TaskReport("req-000001/0", attempt, "pulling")), 1.0)
+    term.cluster.observe(report(3, TaskReport("req-000001/0", attempt, "exited", "stopped")), 2.0)
+    commit(term)
+    assert "img-1" not in machine.images
+    term = make_term(now)
+    attempt = placed(term, hands=1).places[0].attempt
+    machine = term.cluster.machines["vm-1"]
+    term.cluster.observe(report(2, TaskReport("req-000001/0", attempt, "running")), 1.0)
+    term.cluster.observe(report(3, TaskReport("req-000001/0", attempt, "exited", "stopped")), 2.0)
+    commit(term)
+    assert "img-1" in machine.images
