--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -274,6 +274,7 @@
         machine = term.cluster.observe(report, self.clock())
         if machine is None:
             self.metrics.stale_reports += 1
+            log.debug("stale report of %s: session %d, seq %d", report.machine, report.session, report.seq)
             return Answer(200, wire.encode(Orders(token, [])))
         self.keeper.heard_at = self.clock()
         if term.cluster.news(machine) or term.has_work:
@@ -386,6 +387,7 @@
             message: peer_messages.PeerMessage = wire.decode(body, peer_messages.PeerMessage)  # type: ignore[arg-type]
         except wire.WireError as error:
             self.metrics.bad_peer_messages += 1
+            log.info("malformed message of a controller: %s", error)
             return Answer.error(400, str(error))
         if isinstance(message, peer_messages.Forward):
             answer = await self.users.handle(message.method, message.path, message.body.encode(), forwarded=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from driftcleat.fleet.arrivals import Arrivals
-from driftcleat.fleet.sizing import Demand, plan_fleet
+from driftcleat.fleet.sizing import Demand, Plan, plan_fleet
 from driftcleat.leadership.lease import LeaseClock
 from driftcleat.model import Cluster, IllegalMove, Job, JobState, Place, TaskState, change_job, change_task
 from driftcleat.placement.engine import Limits, PlacementRound
@@ -19,7 +19,7 @@
 from driftcleat.wire.users import JobView
 from driftcleat.wire.workers import Report, TaskReport
 
-from .samples import TYPES, job, platform
+from .samples import BIG, TYPES, job, platform
 from .world import PlainStore
 
 SITE = platform()
@@ -398,3 +398,34 @@
     term.cluster.observe(report(3, TaskReport("req-000001/0", attempt, "exited", "stopped")), 2.0)
     commit(term)
     assert "img-1" in machine.images
+
+
+def test_machines_that_are_late_or_silent_are_given_up_and_idle_ones_returned() -> None:
+    now = [1000.0]
+    term = make_term(now)
+    term.cluster.started_at = 0.0
+    late = term.cluster.adopt("vm-2", "big", "north", False, "", now[0])
+    empty = Plan({}, set())
+    assert term.surplus(empty, now[0]) == []
+    now[0] += BIG.boot_s * term.tuning.late + 0.1
+    heard = term.cluster.machines["vm-1"]
+    heard.heard_at = now[0]
+    assert {machine.name for machine in term.surplus(empty, now[0])} == {"vm-1", "vm-2"}, "one idle, one late"
+    assert term.surplus(Plan({}, {"vm-1"}), now[0]) == [late], "what the queue needs is kept"
+    heard.heard_at = now[0] - SITE.lease_s * term.tuning.lost - 0.1
+    assert heard in term.surplus(Plan({}, {"vm-1"}), now[0]), "silent for longer than its lease"
+
+
+def test_what_the_cloud_refuses_is_asked_for_elsewhere_and_later_again() -> None:
+    now = [0.0]
+    term = make_term(now)
+    term.cluster.machines.clear()
+    term.submissions.append(Ticket(lambda view: None, job(1, hands=1, builds=["big"]), "req-000001"))
+    commit(term)
+    first, = term.plan_rentals(0.0).rentals
+    term.note_refusal(first, 0.0)
+    second, = term.plan_rentals(0.0).rentals
+    assert second != first and second[0] == "big"
+    term.note_refusal(second, 0.0)
+    assert term.plan_rentals(0.0).rentals == {}
+    assert term.plan_rentals(40.0).rentals != {}
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -153,6 +153,19 @@
     assert {task.attempt for _, task in site.world.on_machines()} == attempts, "no work was lost"
 
 
+@live
+async def test_a_leader_that_no_worker_reaches_hands_over(site: Site) -> None:
+    first = site.leader()
+    assert first is not None
+    await accepted(site, first, raw_job(1, rig="daemon", hands=1))
+    await reaches(site, first, "req-000001", "running")
+    front = site.world.fronts.pop(first)
+    second = await until(lambda: site.leader() if site.leader() != first else None, "another leader")
+    site.world.fronts[first] = front
+    await accepted(site, second, raw_job(2, voyageS=0.5))
+    await reaches(site, first, "req-000002", "done")
+
+
 @live
 async def test_an_outage_of_the_store_is_told_at_once_and_costs_no_work(site: Site) -> None:
     leader = site.leader()
