--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -30,8 +30,8 @@
     def __init__(self, session: aiohttp.ClientSession, address: str, rps: float, timeout_s: float,
                  clock: Callable[[], float]) -> None:
         self.session, self.base, self.timeout_s, self.clock = session, f"http://{address}", timeout_s, clock
-        # The cloud permits bursts worth two seconds.
         self.malformed = 0
+        # The cloud permits bursts worth two seconds.
         self.requests = Bucket(rps * 0.9, clock, burst_s=2.0)
 
     async def _call(self, method: str, path: str, body: bytes | None, kind: type[T]) -> T:
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from driftcleat.placement.rooms import Room, allowed, capacity, spread_limit
+from driftcleat.placement.rooms import Room, allowed, capacity, share, spread_limit
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import Submission
 
@@ -26,11 +26,8 @@
     def cost(self, types: dict[str, MachineType]) -> float:
         """Return what a task costs an hour on the type that suits it best, if that is filled up."""
         spec = self.spec
-        shares = [kind.price * max(spec.cpus / kind.cpus if kind.cpus else 0.0,
-                                   spec.gpus / kind.gpus if kind.gpus else 0.0,
-                                   spec.memory_gb / kind.memory_gb if kind.memory_gb else 0.0)
-                  for kind in types.values() if spec.types is None or kind.name in spec.types]
-        return min(shares, default=0.0)
+        return min((kind.price * share(spec, kind.cpus, kind.gpus, kind.memory_gb)
+                    for kind in types.values() if spec.types is None or kind.name in spec.types), default=0.0)
 
 
 @dataclass(slots=True)
--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -179,10 +179,9 @@
                 room.gpus - spec.gpus, room.cpus - spec.cpus)
 
 
-def plan_preemption(spec: Submission, rooms: Iterable[Room], victims_of: Callable[[str], list[Victim]],
+def plan_preemption(spec: Submission, by_name: dict[str, Room], victims_of: Callable[[str], list[Victim]],
                     machines: Iterable[str]) -> Preemption | None:
     """Return the cheapest set of tasks on one machine whose stop makes room for one task."""
-    by_name = {room.name: room for room in rooms}
     best: Preemption | None = None
     best_cost = 0.0
     for name in machines:
--- a/driftcleat/placement/rooms.py
+++ b/driftcleat/placement/rooms.py
@@ -30,8 +30,7 @@
 
     def share_cost(self, spec: Submission) -> float:
         """Return the part of the machine's price that a task takes, by what it takes most of."""
-        return self.price * max((need / all_of_it for need, all_of_it in zip(
-            (spec.cpus, spec.gpus, spec.memory_gb), self.whole, strict=True) if all_of_it > 0), default=0.0)
+        return self.price * share(spec, *self.whole)
 
     def take(self, spec: Submission, tasks: int = 1) -> None:
         """Use up what tasks need."""
@@ -66,6 +65,12 @@
     return (spec.cpus <= cpus + SLACK and spec.gpus <= gpus + SLACK and spec.memory_gb <= memory_gb + SLACK)
 
 
+def share(spec: Submission, cpus: float, gpus: float, memory_gb: float) -> float:
+    """Return the part of these amounts that a task takes, by what it takes most of."""
+    return max((need / whole for need, whole in (
+        (spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb)) if whole > 0), default=0.0)
+
+
 def capacity(spec: Submission, cpus: float, gpus: float, memory_gb: float, most: int) -> int:
     """Return how many tasks fit into these amounts, up to `most`."""
     count = most
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -408,7 +408,7 @@
         kind = self.cluster.types.get(best.type)
         if kind is None:
             return False
-        fetch = spec.image_gb / max(kind.fetch_gb_per_s, 1e-9) * _size(spec)
+        fetch = _fetch_s(spec, kind) * _size(spec)
         cached = [room.name for room in work.rooms if room.busy and spec.image in room.images
                   and spec.image not in room.fetching]
         if not self._preempt(batch, job, work, guaranteed, now, cached, fetch * self.tuning.evict):
@@ -462,7 +462,7 @@
                     found.append(Victim(other, index, self._loss(other, machine, (job_id, index))))
             return found
 
-        plan = plan_preemption(job.spec, work.rooms, victims_of, machines)
+        plan = plan_preemption(job.spec, work.by_name, victims_of, machines)
         if plan is None or plan.cost > most_cost:
             return False
         if len(plan.victims) * 2 > batch.ops_left:
@@ -490,8 +490,7 @@
         size = _size(spec)
         if spec.kind is Kind.SERVICE:
             return size * 1e4
-        rate = machine.type.fetch_gb_per_s if machine.type is not None else 1.0
-        fetch_s = spec.image_gb / max(rate, 1e-9)
+        fetch_s = _fetch_s(spec, machine.type) if machine.type is not None else spec.image_gb
         if machine.phases.get(key, FETCHING) == FETCHING:
             return size * (self.platform.report_s * 2 + fetch_s)
         again = self.platform.report_s * 2 + fetch_s * self.tuning.refetch
@@ -549,8 +548,8 @@
 
     def _can_wait(self, spec: Submission, kinds: list[MachineType]) -> bool:
         """Whether a job meets its class's aims although it has to wait for a machine to boot and fetch."""
-        ready_s = min(kind.boot_s * self.tuning.boots + spec.image_gb / max(kind.fetch_gb_per_s, 1e-9)
-                      for kind in kinds) + self.platform.report_s
+        ready_s = self.platform.report_s + min(
+            kind.boot_s * self.tuning.boots + _fetch_s(spec, kind) for kind in kinds)
         aims = [(objective.within_s, objective.kind) for objective in self.platform.objectives
                 if objective.job_class == spec.job_class and objective.kind in ("wait", "finished")]
         if spec.deadline_s is not None:
@@ -697,6 +696,11 @@
         return names
 
 
+def _fetch_s(spec: Submission, kind: MachineType) -> float:
+    """Return how long a machine of this type takes for a job's image, with no other fetch beside it."""
+    return spec.image_gb / max(kind.fetch_gb_per_s, 1e-9)
+
+
 def _size(spec: Submission) -> float:
     """Return how much a task takes, to weigh its seconds by."""
     return max(spec.gpus, spec.cpus / 16, 1e-3)
