Room for the work of many silent machines boots early; they are given up once it fits elsewhere

Now work of the two highest ranks on machines silent for longer than a lease counts as demand, and such machines are returned once their work fits on machines that are heard. A zone dark as a whole is waited for.

--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from driftcleat.fleet.arrivals import Arrivals
-from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
+from driftcleat.fleet.sizing import Demand, Offer, Plan, Stock, plan_fleet
 from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, Place, TaskState, change_machine
 from driftcleat.placement.engine import MANY, Limits, PlacementRound, Preemption, plan_preemption
 from driftcleat.placement.rooms import SLACK, Room, allowed, capacity, fits, hasty, spread_limit
@@ -684,6 +684,8 @@
                 # Machines boot at their own pace: with none to spare, the last replicas wait for the slowest.
                 wanted += round(wanted * self.tuning.slack)
             demands.append(Demand(job.spec, wanted, job.zone_counts()))
+        silence = self.silence(now)
+        demands.extend(self._feared_lost(silence, now))
         demands.extend(self.expected(now))
         rooms = [_plain_room(machine, self.platform) for machine in self.cluster.machines.values()
                  if machine.state in (MachineState.UP, MachineState.BOOTING)]
@@ -697,12 +699,32 @@
         if log.isEnabledFor(logging.DEBUG):
             log.debug("demands %s", [(demand.spec.job_class, demand.tasks) for demand in demands])
         free = [room for room in rooms if room is not None and room.gpus + room.cpus > SLACK]
-        silence = self.silence(now)
         dark = {zone for kind in self.cluster.types.values() for zone in kind.zones if silence.dark(zone)}
         return plan_fleet(demands, free, self.cluster.types,
                           lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now or offer[1] in dark, 64,
                           self.platform.away)
 
+    def _feared_lost(self, silence: "Silence", now: float) -> list[Demand]:
+        """Return the work of the two highest ranks on machines that fell silent with many others, whose leases must
+        have ended: room for it boots while it is found out whether they are gone.
+
+        Guards against waiting for the cloud's word about a hundred machines before renting the first new one.
+        """
+        tasks: dict[str, int] = {}
+        for machine in self.cluster.machines.values():
+            if silence.together(machine.zone) and not silence.dark(machine.zone) and (
+                    self._runs(machine) and self._silent_s(machine, now) > self.platform.lease_s):
+                for job_id, _ in machine.tasks:
+                    tasks[job_id] = tasks.get(job_id, 0) + 1
+        jobs = ((self.cluster.jobs.get(job_id), count) for job_id, count in tasks.items())
+        return [Demand(job.spec, count, {}) for job, count in jobs
+                if job is not None and job.state is JobState.ACTIVE and job.spec.rank.level <= 1]
+
+    def _runs(self, machine: Machine) -> bool:
+        """Whether a machine is up as far as its reports or the cloud's list have told."""
+        return machine.state in (MachineState.UP, MachineState.DRAINING) or (
+            machine.state is MachineState.BOOTING and machine.running_since is not None)
+
     def expected(self, now: float) -> list[Demand]:
         """Return the arrivals to keep room for: those of the time a machine needs to boot, of the classes that
         could not wait for it."""
@@ -782,6 +804,7 @@
         # Many that do not heed us at once: more likely we are too slow than they all deaf.
         many_deaf = sum(self._deaf(machine, now) for machine in up) > max(2, len(up) // 3)
         silence = self.silence(now)
+        fits_elsewhere = self._fitting_elsewhere(silence, now)
         out: list[Machine] = []
         for machine in self.cluster.machines.values():
             if machine.state in (MachineState.RETURNING, MachineState.GONE) or machine.name in self.in_flight:
@@ -790,8 +813,8 @@
             if machine.state is MachineState.BOOTING and machine.running_since is None:
                 if settled and now - machine.rented_at > boot_s * tuning.late:
                     out.append(machine)
-            elif self._silent_s(machine, now) > silence.borne_s(machine.zone):
-                if settled:
+            elif (silent_s := self._silent_s(machine, now)) > silence.alone_s:
+                if settled and (silent_s > silence.borne_s(machine.zone) or machine.name in fits_elsewhere):
                     out.append(machine)
             elif machine.state is MachineState.BOOTING:
                 continue
@@ -812,13 +835,36 @@
         since = machine.heard_at if machine.report is not None else (machine.running_since or now)
         return now - max(since, self.cluster.started_at)
 
+    def _fitting_elsewhere(self, silence: "Silence", now: float) -> set[str]:
+        """Return machines that fell silent with many others and whose work finds room on machines that are heard.
+
+        To wait for them would help nobody. Guards against lost work that waits although there is room for it. A zone
+        that is dark as a whole is cut off: its work may well go on.
+        """
+        given_up = [machine for machine in self.cluster.machines.values()
+                    if self._runs(machine) and silence.together(machine.zone) and not silence.dark(machine.zone)
+                    and silence.alone_s < self._silent_s(machine, now) <= silence.together_s]
+        if not given_up:
+            return set()
+        free = (_plain_room(machine, self.platform) for machine in self.cluster.machines.values()
+                if self.takes_tasks(machine, now))
+        stock = Stock(room for room in free if room is not None and room.gpus + room.cpus > SLACK)
+        out: set[str] = set()
+        for machine in given_up:
+            demands = [Demand(job.spec, 1, {}) for job_id, _ in machine.tasks
+                       if (job := self.cluster.jobs.get(job_id)) is not None and job.state is JobState.ACTIVE]
+            for demand in demands:
+                stock.fill(demand, set())
+            if not any(demand.tasks for demand in demands):
+                out.add(machine.name)
+        return out
+
     def silence(self, now: float) -> "Silence":
         """Return which machines are silent, by zone, as it looks now."""
         silence = Silence(self.platform.lease_s * self.tuning.lost, self.platform.lease_s * self.tuning.cut,
                           self.tuning.many)
         for machine in self.cluster.machines.values():
-            if machine.state in (MachineState.UP, MachineState.DRAINING) or (
-                    machine.state is MachineState.BOOTING and machine.running_since is not None):
+            if self._runs(machine):
                 silence.count(machine.zone, self._silent_s(machine, now))
         for places in self.cluster.waiting.values():
             for place in places.values():
@@ -960,11 +1006,14 @@
         silent, known = self.zones.get(zone, (0, 0))
         return known >= FEW and silent >= known * MOST and self.silent < self.known * MOST
 
+    def together(self, zone: str) -> bool:
+        """Whether a machine that is silent in this zone most likely fell silent with others."""
+        silent, known = self.zones.get(zone, (0, 0))
+        return (known >= FEW and silent >= known * MOST) or self.silent > max(FEW, self.known * self.many)
+
     def borne_s(self, zone: str) -> float:
         """Return how long silence is borne in a zone."""
-        silent, known = self.zones.get(zone, (0, 0))
-        together = (known >= FEW and silent >= known * MOST) or self.silent > max(FEW, self.known * self.many)
-        return self.together_s if together else self.alone_s
+        return self.together_s if self.together(zone) else self.alone_s
 
 
 class _Scene:
