Tests of sockets, silence and tending; machines given up early only where their images are

A zone that comes back is waited for until its last machine had its turn: 17 machines with work still running were returned as the first of them was heard.

--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from driftcleat.fleet.arrivals import Arrivals
-from driftcleat.fleet.sizing import Demand, Offer, Plan, Stock, plan_fleet
+from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
 from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, Place, TaskState, change_machine
 from driftcleat.placement.engine import MANY, Limits, PlacementRound, Preemption, plan_preemption
 from driftcleat.placement.rooms import SLACK, Room, allowed, capacity, fits, hasty, spread_limit
@@ -96,6 +96,8 @@
         # Machines whose room is kept for a job until a time: what it displaced, or what its gang still lacks.
         self.held: dict[str, tuple[str, float]] = {}
         self.draining: set[str] = set()
+        # Until when a zone counts as dark (under its name), or machines as silent together (under none).
+        self._silences: dict[str | None, float] = {}
         self._order: tuple[int, list[Job], set[str]] | None = None
         self._booting: set[tuple[str, str, bool]] = set()
         cluster.on_exit = self._note_exit
@@ -699,7 +701,7 @@
         if log.isEnabledFor(logging.DEBUG):
             log.debug("demands %s", [(demand.spec.job_class, demand.tasks) for demand in demands])
         free = [room for room in rooms if room is not None and room.gpus + room.cpus > SLACK]
-        dark = {zone for kind in self.cluster.types.values() for zone in kind.zones if silence.dark(zone)}
+        dark = {zone for kind in self.cluster.types.values() for zone in kind.zones if silence.dark_now(zone)}
         return plan_fleet(demands, free, self.cluster.types,
                           lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now or offer[1] in dark, 64,
                           self.platform.away)
@@ -836,26 +838,34 @@
         return now - max(since, self.cluster.started_at)
 
     def _fitting_elsewhere(self, silence: "Silence", now: float) -> set[str]:
-        """Return machines that fell silent with many others and whose work finds room on machines that are heard.
+        """Return machines that fell silent with many others and whose work finds room, images and all, on machines
+        that are heard.
 
-        To wait for them would help nobody. Guards against lost work that waits although there is room for it. A zone
-        that is dark as a whole is cut off: its work may well go on.
+        To wait for them would help nobody; where the image is missing, they are likely back before it is fetched.
+        Guards against lost work that waits although there is room for it. A zone that is dark as a whole is cut off:
+        its work may well go on.
         """
         given_up = [machine for machine in self.cluster.machines.values()
                     if self._runs(machine) and silence.together(machine.zone) and not silence.dark(machine.zone)
                     and silence.alone_s < self._silent_s(machine, now) <= silence.together_s]
         if not given_up:
             return set()
-        free = (_plain_room(machine, self.platform) for machine in self.cluster.machines.values()
-                if self.takes_tasks(machine, now))
-        stock = Stock(room for room in free if room is not None and room.gpus + room.cpus > SLACK)
+        by_image: dict[str, list[Room]] = {}
+        for room in self.rooms(now, (0.0, SLACK * 2, 0.0)):
+            for image in self.cluster.machines[room.name].fetched:
+                by_image.setdefault(image, []).append(room)
         out: set[str] = set()
         for machine in given_up:
-            demands = [Demand(job.spec, 1, {}) for job_id, _ in machine.tasks
-                       if (job := self.cluster.jobs.get(job_id)) is not None and job.state is JobState.ACTIVE]
-            for demand in demands:
-                stock.fill(demand, set())
-            if not any(demand.tasks for demand in demands):
+            specs = [job.spec for job_id, _ in machine.tasks
+                     if (job := self.cluster.jobs.get(job_id)) is not None and job.state is JobState.ACTIVE]
+            for spec in specs:
+                found = next((room for room in by_image.get(spec.image, ())
+                              if fits(spec, room.cpus, room.gpus, room.memory_gb)
+                              and allowed(spec, room.type, room.zone, room.spot)), None)
+                if found is None:
+                    break
+                found.take(spec)
+            else:
                 out.add(machine.name)
         return out
 
@@ -870,6 +880,7 @@
             for place in places.values():
                 silence.count(place.zone, now - self.cluster.started_at)
                 break
+        silence.remember(self._silences, now)
         return silence
 
     def doubtful(self, machine: Machine, now: float) -> bool:
@@ -990,6 +1001,7 @@
         self.alone_s, self.together_s, self.many = alone_s, max(alone_s, together_s), many
         self.zones: dict[str, list[int]] = {}
         self.silent = self.known = 0
+        self._lately: set[str | None] = set()
 
     def count(self, zone: str, silent_s: float) -> None:
         """Count a machine."""
@@ -1001,15 +1013,35 @@
         self.silent += silent
         self.known += 1
 
-    def dark(self, zone: str) -> bool:
+    def remember(self, until: dict[str | None, float], now: float) -> None:
+        """Let what holds now hold for a while longer: those that come back do not all come at once.
+
+        Guards against returning the rest of a zone, its work still running, when the first of it was heard again, as
+        seen on the bench: a worker tries one controller after the other.
+        """
+        for zone in self.zones:
+            if self.dark_now(zone):
+                until[zone] = now + self.alone_s
+        if self._many():
+            until[None] = now + self.alone_s
+        self._lately = {zone for zone, end in until.items() if end > now}
+
+    def _many(self) -> bool:
+        return self.silent > max(FEW, self.known * self.many)
+
+    def dark_now(self, zone: str) -> bool:
         """Whether nearly all of a zone is silent while others are heard."""
         silent, known = self.zones.get(zone, (0, 0))
         return known >= FEW and silent >= known * MOST and self.silent < self.known * MOST
 
+    def dark(self, zone: str) -> bool:
+        """Whether a zone is dark, or was until a moment ago."""
+        return self.dark_now(zone) or zone in self._lately
+
     def together(self, zone: str) -> bool:
         """Whether a machine that is silent in this zone most likely fell silent with others."""
         silent, known = self.zones.get(zone, (0, 0))
-        return (known >= FEW and silent >= known * MOST) or self.silent > max(FEW, self.known * self.many)
+        return (known >= FEW and silent >= known * MOST) or self._many() or not self._lately.isdisjoint((zone, None))
 
     def borne_s(self, zone: str) -> float:
         """Return how long silence is borne in a zone."""
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,462 @@
+"""What a fleet needs: sockets shared out, many machines silent at once, a zone cut off, no call behind another's."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from driftcleat.fleet.sizing import Plan
+from driftcleat.model import MachineState
+from driftcleat.net import Door, SocketBudget
+from driftcleat.net.budget import OWN
+from driftcleat.net.door import Guest
+from driftcleat.term import Silence, Ticket
+from driftcleat.wire.workers import Report, TaskReport
+from driftcleat.workers import WorkerClient
+
+from .samples import TYPES, job, platform, raw_job
+from .standins import Site, free_port, until
+from .test_core import commit, make_term
+from .test_service import accepted, cut_peers, live, reaches
+from .world import World
+
+SITE = platform()
+
+
+# -- sockets -------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("limit", [160, 500, 924, 1571, 10_000])
+@pytest.mark.parametrize("peers", [0, 2, 4])
+def test_all_that_may_be_opened_stays_below_the_limit(limit: int, peers: int) -> None:
+    """Guards against users and reports that take the descriptor which the lease's renewal needs."""
+    budget = SocketBudget(limit, peers)
+    out = [budget.lease, budget.store, budget.cloud, budget.peers, budget.workers]
+    assert all(0 < part.each <= part.total for part in out)
+    assert OWN + sum(part.total for part in out) + budget.back + budget.front <= limit
+    assert budget.front >= limit // 8, "most of what there is serves workers and users"
+
+
+def door(most: int) -> tuple[Door[int], list[int]]:
+    """Return a door and the list of those it closes."""
+    closed: list[int] = []
+    return Door(most, closed.append), closed
+
+
+def test_beyond_the_bound_those_with_more_than_their_share_get_a_last_answer() -> None:
+    gate, _ = door(16)
+    for guest in range(16):
+        assert gate.opened(guest)
+        gate.began(guest, Guest.USER if guest < 2 else Guest.WORKER)
+    assert gate.crowded
+    last = {guest for guest in range(16) if gate.ended(guest)}
+    assert last and all(guest >= 2 for guest in last), "users below their share keep theirs"
+    # As many as are beyond the bound are given up, no more.
+    for guest in last:
+        gate.gone(guest)
+    assert not gate.crowded and not any(gate.ended(guest) for guest in range(16) if guest not in last)
+
+
+def test_idle_users_make_room_for_reports() -> None:
+    gate, closed = door(16)
+    for guest in range(16):
+        gate.opened(guest)
+        gate.began(guest, Guest.USER)
+        if guest < 12:
+            gate.idle[guest] = None
+    assert gate.opened(99) and closed == [0], "the one idle for longest"
+    # Of the idle ones it is a user's that goes, though a worker's has been idle for longer.
+    gate.began(1, Guest.WORKER)
+    gate.idle.clear()
+    gate.idle[1] = gate.idle[2] = None
+    gate.gone(15)
+    gate.opened(15)
+    gate.began(15, Guest.USER)
+    assert gate.opened(98) and closed == [0, 2]
+    gate.began(98, Guest.USER)
+    for guest in range(1, 12):
+        gate.began(guest, Guest.USER)
+    gate.began(99, Guest.WORKER)
+    assert not gate.opened(100) and gate.turned_away == 1, "all are busy"
+    assert len(gate.open) == 16
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 30), st.booleans()), max_size=120))
+def test_the_door_counts_as_a_plain_model_does(moves: list[tuple[int, int, bool]]) -> None:
+    gate, closed = door(8)
+    plain: dict[int, tuple[Guest, bool]] = {}
+    for move, guest, worker in moves:
+        kind = Guest.WORKER if worker else Guest.USER
+        if move == 0 and guest not in plain:
+            before = len(closed)
+            taken = gate.opened(guest)
+            for victim in closed[before:]:
+                assert not plain.pop(victim)[1], "only an idle one is closed"
+            assert taken == (len(plain) < 8)
+            if taken:
+                plain[guest] = (Guest.UNKNOWN, False)
+        elif move == 1 and guest in plain:
+            gate.began(guest, kind)
+            plain[guest] = (kind, True)
+        elif move == 2 and guest in plain and plain[guest][1]:
+            if gate.ended(guest):
+                assert len(plain) > gate.kept
+                gate.gone(guest)
+                del plain[guest]
+            else:
+                plain[guest] = (plain[guest][0], False)
+        elif move == 3:
+            gate.gone(guest)
+            plain.pop(guest, None)
+        assert {known: gate.open[known] for known in gate.open} == {known: row[0] for known, row in plain.items()}
+        assert set(gate.idle) == {known for known, row in plain.items() if not row[1]}
+        assert all(gate.counts[kind] == sum(row[0] is kind for row in plain.values()) for kind in Guest)
+
+
+@live
+async def test_a_crowd_of_connections_is_served_and_the_lease_is_kept(site: Site) -> None:
+    """A descriptor budget of a few dozen: every request is answered in full, whoever has too many is closed."""
+    leader = site.leader()
+    assert leader is not None
+    gate = site.controllers[leader].front.door
+    gate.most, gate.kept = 24, 20
+    token = site.controllers[leader].election.token
+    connector = aiohttp.TCPConnector(limit=0, force_close=False)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        async def ask(number: int) -> int:
+            try:
+                async with session.get(f"http://{site.platforms[leader].bind}/v1/jobs/req-{number:06d}") as answer:
+                    await answer.read()
+                    return answer.status
+            except aiohttp.ClientError:
+                return 0
+        for _ in range(3):
+            statuses = await asyncio.gather(*(ask(number) for number in range(20)))
+            assert set(statuses) <= {404, 503}, "every one got its answer"
+            assert len(gate.open) <= gate.most
+        await asyncio.gather(*(ask(number) for number in range(80)))
+        assert len(gate.open) <= gate.most
+    await accepted(site, leader, raw_job(1, voyageS=0.5))
+    await reaches(site, leader, "req-000001", "done")
+    assert site.controllers[leader].election.token == token, "it still leads"
+
+
+def test_a_call_to_a_worker_does_not_wait_for_machines_that_are_silent() -> None:
+    """Guards against a stop that a cancellation waits for behind hundreds of calls that take their full time."""
+    async def run() -> None:
+        asked = asyncio.Event()
+        free = asyncio.Event()
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            await request.read()
+            if request.path.startswith("/silent"):
+                await free.wait()
+            asked.set()
+            return web.json_response({})
+        runner = web.ServerRunner(web.Server(handle, access_log=None))
+        await runner.setup()
+        port = free_port()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        async with aiohttp.ClientSession() as session:
+            client = WorkerClient(session, 600.0, 8)
+            addrs = [f"127.0.0.1:{port}/silent/{number}" for number in range(50)]
+            hanging = [asyncio.ensure_future(client.send(addr, 1, 1, [], doubtful=True)) for addr in addrs]
+            await asyncio.sleep(0)
+            await asyncio.wait_for(client.send(f"127.0.0.1:{port}/heard", 1, 1, []), 60)
+            assert asked.is_set() and not any(task.done() for task in hanging)
+            await asyncio.wait_for(client.send(f"127.0.0.1:{port}/silent/0", 1, 1, [], doubtful=True), 60)
+            assert len(client.asking) == 50, "one open call to a doubtful machine is enough"
+            free.set()
+            await asyncio.gather(*hanging)
+            assert not client.asking
+        await runner.cleanup()
+    asyncio.run(run())
+
+
+# -- many machines silent at once ----------------------------------------------------------------------------
+
+
+def counted(zones: dict[str, tuple[int, int]]) -> Silence:
+    """Return a picture with so many silent of so many machines a zone."""
+    silence = Silence(10.0, 40.0, 0.05)
+    for zone, (silent, known) in zones.items():
+        for number in range(known):
+            silence.count(zone, 8.0 if number < silent else 0.0)
+    return silence
+
+
+def test_silence_is_borne_longer_the_more_share_it() -> None:
+    alone = counted({"north": (1, 60), "south": (2, 60)})
+    assert alone.borne_s("north") == 10.0 and not alone.dark("south")
+    many = counted({"north": (4, 60), "south": (4, 60)})
+    assert many.borne_s("north") == 40.0 and not many.dark("north")
+    zone = counted({"north": (60, 60), "south": (0, 60)})
+    assert zone.dark("north") and not zone.dark("south")
+    ours = counted({"north": (60, 60), "south": (60, 60)})
+    assert not ours.dark("north") and ours.borne_s("north") == 40.0, "it is us who hear nothing"
+
+
+def test_a_zone_that_comes_back_is_waited_for_until_its_last_machine_had_its_turn() -> None:
+    """Guards against returning the rest of a zone, its work still running, when the first of it was heard again."""
+    until_when: dict[str | None, float] = {}
+    counted({"north": (60, 60), "south": (0, 60)}).remember(until_when, 100.0)
+    back = counted({"north": (2, 60), "south": (0, 60)})
+    back.remember(until_when, 105.0)
+    assert back.dark("north") and not back.dark_now("north") and back.borne_s("north") == 40.0
+    later = counted({"north": (2, 60), "south": (0, 60)})
+    later.remember(until_when, 120.0)
+    assert later.borne_s("north") == 10.0
+
+
+def fleet_term(now: list[float], count: int, zones: tuple[str, ...] = ("north", "south")):  # type: ignore[no-untyped-def]
+    """Return a term, long begun, with `count` machines in each zone that have just reported."""
+    term = make_term(now)
+    term.cluster.started_at = now[0] - 1000.0
+    for zone in zones:
+        for number in range(count):
+            term.cluster.observe(Report(f"vm-{zone}-{number}", "h:1", "big", zone, False, 1, 1, 5, ()), now[0])
+    return term
+
+
+def hear(term, now: list[float], zone: str, seq: int, only=lambda number: True) -> None:  # type: ignore[no-untyped-def]
+    """Machines of a zone report again."""
+    for number in range(20):
+        name = f"vm-{zone}-{number}"
+        if only(number):
+            known = term.cluster.machines[name].report
+            tasks = tuple(TaskReport(f"{key[0]}/{key[1]}", place.attempt, "running")
+                          for key, place in term.cluster.machines[name].tasks.items())
+            assert known is not None
+            term.cluster.observe(Report(name, "h:1", "big", zone, False, 1, seq, 5, tasks), now[0])
+
+
+def kept(term) -> Plan:  # type: ignore[no-untyped-def]
+    """Return a plan that needs every machine."""
+    return Plan({}, set(term.cluster.machines))
+
+
+def test_machines_that_hang_together_are_waited_for_and_one_alone_is_not() -> None:
+    """Guards against returning fifty machines three seconds before they went on, seen on the bench."""
+    now = [1000.0]
+    term = fleet_term(now, 20)
+    now[0] += SITE.lease_s * term.tuning.lost + 0.1
+    hear(term, now, "north", 2, lambda number: number > 0)
+    hear(term, now, "south", 2)
+    term.cluster.machines["vm-1"].heard_at = now[0]
+    assert [machine.name for machine in term.surplus(kept(term), now[0])] == ["vm-north-0"]
+
+    now = [1000.0]
+    term = fleet_term(now, 20)
+    now[0] += SITE.lease_s * term.tuning.lost + 0.1
+    hear(term, now, "north", 2, lambda number: number > 4)
+    hear(term, now, "south", 2)
+    term.cluster.machines["vm-1"].heard_at = now[0]
+    # They hold work for which there is no room elsewhere.
+    for machine in term.cluster.machines.values():
+        machine.cpus, machine.gpus = 16.0, 4.0
+    term.submissions.append(Ticket(lambda view: None, job(1, hands=1), "req-000001"))
+    commit(term)
+    for number in range(5):
+        place = type("P", (), {"attempt": 1, "stop": None, "machine": f"vm-north-{number}", "zone": "north"})()
+        term.cluster.machines[f"vm-north-{number}"].tasks[("req-000001", number)] = place
+    assert term.surplus(kept(term), now[0]) == []
+    for machine in term.cluster.machines.values():
+        machine.cpus = machine.gpus = 0.0
+    assert term.surplus(kept(term), now[0]) == [], "they are likely back before its image is fetched elsewhere"
+    for machine in term.cluster.machines.values():
+        machine.fetched.add("img-1")
+    assert {machine.name for machine in term.surplus(kept(term), now[0])} == {f"vm-north-{n}" for n in range(5)}, (
+        "waiting helps nobody once their work has room elsewhere")
+    for machine in term.cluster.machines.values():
+        machine.cpus, machine.gpus = 16.0, 4.0
+    now[0] += SITE.lease_s * term.tuning.cut
+    assert "vm-north-0" in {machine.name for machine in term.surplus(kept(term), now[0])}, "not for ever"
+
+
+def test_a_new_leader_does_not_take_a_cut_off_zone_for_late_boots() -> None:
+    """Guards against returning a whole zone, seen on the bench: its machines were old and had not reported yet."""
+    now = [1000.0]
+    term = fleet_term(now, 20, ("south",))
+    for number in range(20):
+        machine = term.cluster.adopt(f"vm-north-{number}", "big", "north", False, "h:1", now[0])
+        machine.rented_at, machine.running_since = now[0] - 900.0, now[0]
+    now[0] += SITE.lease_s * term.tuning.lost + 0.1
+    hear(term, now, "south", 2)
+    term.cluster.machines["vm-1"].heard_at = now[0]
+    assert term.surplus(kept(term), now[0]) == []
+    booting = term.cluster.adopt("vm-late", "big", "south", False, "h:1", now[0])
+    booting.rented_at = now[0] - 900.0
+    assert term.surplus(kept(term), now[0]) == [booting], "the list does not call this one running"
+
+
+def test_room_for_the_work_of_many_silent_machines_boots_early_and_none_in_a_dark_zone() -> None:
+    """Guards against waiting for the cloud's word about a hundred machines before the first new one is rented."""
+    now = [1000.0]
+    term = fleet_term(now, 20)
+    term.submissions.append(Ticket(lambda view: None, job(1, hands=8, rank="high", rig="daemon"), "req-000001"))
+    commit(term)
+    commit(term)
+    held = {place.machine for place in term.cluster.jobs["req-000001"].places.values()}
+    assert held and not term.plan_rentals(now[0]).rentals
+    for machine in term.cluster.machines.values():
+        machine.heard_at = now[0] + SITE.lease_s + 0.1
+        machine.cpus, machine.gpus = 16.0, 4.0
+    now[0] += SITE.lease_s + 0.1
+    before = sum(term.plan_rentals(now[0]).rentals.values())
+    for machine in term.cluster.machines.values():
+        if machine.name in held or machine.name in {f"vm-north-{number}" for number in range(8)}:
+            machine.heard_at = now[0] - SITE.lease_s - 0.1
+    assert sum(term.plan_rentals(now[0]).rentals.values()) > before, "their work is reckoned as lost"
+    for machine in term.cluster.machines.values():
+        if machine.zone == "north":
+            machine.heard_at = now[0] - SITE.lease_s - 0.1
+    assert all(zone != "north" for _, zone, _ in term.plan_rentals(now[0]).rentals)
+
+
+# -- a zone cut off together with a controller ---------------------------------------------------------------
+
+
+def test_leases_kept_in_a_cut_off_zone_end_within_a_cancellations_time() -> None:
+    """The cloud is down too, so only the end of the leases can make a cancellation true. The bound on tending and on
+    being unsure is what this needs: with a lease more it fails."""
+    world = World(5, platform(), dict(TYPES))
+    world.elect()
+    for number in range(1, 5):
+        world.submit(job(number, hands=2, rig="daemon", crew="red" if number < 3 else "blue"))
+    world.run(10.0)
+    assert world.on_machines()
+    site = world.platform
+    hold_s = min(site.lease_s * 2.0, site.cancel_s - site.lease_s - site.report_s)
+    begun = world.now
+    for worker in world.alive():
+        worker.cut = True
+    world.cloud_up = False
+    for number in range(1, 5):
+        world.cancel(f"req-{number:06d}")
+    while world.now < begun + site.cancel_s + 5.0:
+        if world.now < begun + hold_s:
+            for worker in world.alive():
+                worker.leased_at = world.now
+        world.step()
+    assert set(world.told.values()) == {"cancelled"}
+    assert not world.on_machines()
+
+
+@live
+async def test_a_follower_cut_off_from_everything_keeps_leases_for_a_while(site: Site) -> None:
+    """Guards against all work of a zone ending with its leases although a controller inside could be asked."""
+    leader = site.leader()
+    assert leader is not None
+    inside = next(label for label in "abc" if label != leader)
+    election = site.controllers[inside].election
+    token = site.controllers[leader].election.token
+    report = {"bollard": "vm-9", "addr": "127.0.0.1:1", "build": "big", "harbor": "north", "driftwood": False,
+              "watch": 1, "knot": 3, "helm": token, "warningS": None, "hands": []}
+    status, _, _ = await site.call(inside, "POST", "/agent/beat", report)
+    assert status == 421, "a follower names the leader"
+    undo = await cut_peers(site, inside)
+    site.name_sender(inside)
+    site.store.down_for.add(inside)
+    await until(lambda: election.tended_token is not None, "it tends")
+    status, answer, _ = await site.call(inside, "POST", "/agent/beat", report)
+    assert (status, answer) == (200, {"helm": token, "signals": []}), "the last leader's token, and no command"
+    status, _, _ = await site.call(inside, "POST", "/agent/beat", report | {"helm": token + 1})
+    assert status == 421 and election.tended_token is None, "a worker that has heard of a newer leader is not held"
+    election.outranked = False
+    await until(lambda: election.tended_token is not None, "it tends")
+    election.hold_s = 0.0
+    assert (await site.call(inside, "POST", "/agent/beat", report))[0] == 421, "not for ever"
+    for back in undo:
+        back()
+    site.store.down_for.clear()
+    await until(lambda: election.role.value == "follower", "it follows again")
+    status, answer, _ = await site.call(inside, "POST", "/agent/beat", report)
+    assert (status, answer) == (421, {"harbormaster": leader})
+
+
+@live
+async def test_a_follower_that_still_reaches_a_controller_tends_nothing(site: Site) -> None:
+    leader = site.leader()
+    assert leader is not None
+    inside = next(label for label in "abc" if label != leader)
+    site.name_sender(inside)
+    site.store.down_for.add(inside)
+    election = site.controllers[inside].election
+    asked: list[bool] = []
+    answers = election.peers_answer
+
+    async def noted() -> bool:
+        asked.append(await answers())
+        return asked[-1]
+    election.peers_answer = noted
+    await until(lambda: len(asked) > 3, "it has asked")
+    assert all(asked) and election.tended_token is None
+    assert election.role.value == "follower"
+
+
+# -- repeats and late copies ---------------------------------------------------------------------------------
+
+
+@live
+async def test_late_copies_of_requests_change_nothing_that_was_decided_since(site: Site) -> None:
+    """Submission, cancellation, peer message and lease request once more, after the controllers were back at once."""
+    leader = site.leader()
+    assert leader is not None
+    await accepted(site, leader, raw_job(1, voyageS=0.3))
+    await reaches(site, leader, "req-000001", "done")
+    await accepted(site, leader, raw_job(2, rig="daemon", hands=1))
+    await reaches(site, leader, "req-000002", "running")
+    await until(lambda: cancelled(site, leader, 2), "cancelled")
+    await site.kill(leader)
+    site.start(leader)
+    second = await until(site.leader, "a leader")
+    started = site.world.started
+    for label in "abc":
+        for raw in (raw_job(1, voyageS=0.3), raw_job(2, rig="daemon", hands=1)):
+            await until(lambda label=label, raw=raw: repeated(site, label, raw), "the repeat is answered with 200")
+    forward = json.dumps(["forward", "POST", "/v1/jobs/req-000001/cancel", ""]).encode()
+    assert site.world.session is not None
+    async with site.world.session.post(f"http://{site.platforms[second].back}/peer", data=forward) as answer:
+        assert b'"done"' in (await answer.read()).replace(b"\\", b"")
+    # A lease that nobody waits for any more holds no key, whatever becomes of it.
+    site.store.number += 1
+    site.store.leases[site.store.number], site.store.ttl[site.store.number] = site.store.now() + 0.2, 0.2
+    await asyncio.sleep(0.6)
+    assert site.leader() == second and site.world.started == started, "no task was started again"
+    await reaches(site, second, "req-000001", "done")
+    await reaches(site, second, "req-000002", "cancelled")
+
+
+async def cancelled(site: Site, label: str, number: int) -> bool:
+    """Cancel a job once; whether that was answered."""
+    status, body, _ = await site.call(label, "POST", f"/v1/jobs/req-{number:06d}/cancel")
+    return status == 200 and body["bearing"] == "cancelled"
+
+
+async def repeated(site: Site, label: str, raw: dict[str, object]) -> bool:
+    """Send a submission again; whether it was answered as known."""
+    status, body, _ = await site.call(label, "POST", "/v1/jobs", raw)
+    assert status in (200, 503), "never taken anew"
+    return status == 200 and body["bearing"] in ("done", "cancelled")
+
+
+def test_a_rental_and_a_return_carried_out_late_leave_no_machine_unaccounted() -> None:
+    """A rental that is carried out after we gave up on it: its machines report, are adopted and used or returned. A
+    return once more: what is gone stays gone, whatever the list still says."""
+    now = [1000.0]
+    term = fleet_term(now, 2, ("north",))
+    late = Report("vm-late", "h:1", "big", "north", False, 1, 2, 5, ())
+    machine = term.cluster.observe(late, now[0])
+    assert machine is not None and machine.state is MachineState.UP
+    now[0] += 1000.0
+    for known in term.cluster.machines.values():
+        known.heard_at = now[0]
+    assert machine in term.surplus(Plan({}, set()), now[0]), "nobody needs it"
+    term.cluster.forget_machine(machine, now[0])
+    assert term.cluster.observe(Report("vm-late", "h:1", "big", "north", False, 1, 9, 5, ()), now[0]) is None
+    assert "vm-late" not in term.cluster.machines
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -334,7 +334,7 @@
     leader = site.leader()
     assert leader is not None
     election = site.controllers[leader].election
-    election.tuning = dataclasses.replace(election.tuning, hold=0.1)
+    election.hold_s = 0.8
     site.store.down_for.add("all")
     await until(lambda: election.role.value == "unsure", "unsure")
     await asyncio.sleep(3.0)
