--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -43,6 +43,8 @@
 log = logging.getLogger(__name__)
 
 
+# What a process takes at the least (measured), in MB.
+LITTLE_MB = 64
 # Where workers send their reports.
 REPORTS = "/agent/beat"
 # Roles in which a controller answers reports in its own right.
@@ -90,6 +92,8 @@
         self.keeper = FleetKeeper(self)
         self.front = await serve(platform.bind, self._handle_front, sockets.front, workers=REPORTS)
         servers = [await serve(platform.back, self._handle_back, sockets.back, 256 * 1024), self.front]
+        if platform.memory_mb < LITTLE_MB:
+            log.warning("deployment.resources.memory_mb is %g: about %d are needed", platform.memory_mb, LITTLE_MB)
         log.info("controller %s listens on %s and %s", platform.label, platform.bind, platform.back)
         loops: list[Callable[[], Awaitable[None]]] = [self.election.run, self._write_loop, self._scan_loop,
                                                       self._direct_loop, *self.keeper.loops()]
--- a/driftcleat/metrics.py
+++ b/driftcleat/metrics.py
@@ -52,6 +52,9 @@
             "bad_reports": self.bad_reports, "stale_reports": self.stale_reports,
             "bad_peer_messages": self.bad_peer_messages, "bad_store_answers": controller.store.malformed,
             "bad_cloud_answers": controller.cloud.malformed,
+            "connections": len(controller.front.door.open), "connections_most": controller.front.door.most,
+            "connections_closed": controller.front.door.last_answers,
+            "connections_refused": controller.front.door.turned_away,
         }
         if term is not None:
             machines: dict[str, int] = {}
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -51,7 +51,6 @@
         self.gone: dict[str, float] = {}
         self.usage: dict[str, Usage] = {}
         self.dirty: set[str] = set()
-        self.running: dict[str, int] = {}
         # Attempts on machines that no record knows: the task must not start elsewhere while one is there.
         self.ghosts: dict[tuple[str, int], str] = {}
         self.retry_at: dict[str, float] = {}
--- a/driftcleat/net/budget.py
+++ b/driftcleat/net/budget.py
@@ -9,8 +9,6 @@
 # What must never wait for a descriptor: the lease's renewal beside an attempt that hangs.
 LEASE = 4
 CLOUD = 6
-# Below this the parts would have to share: see `SocketBudget.least`.
-LEAST = 128
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftcleat/settings/platform.py
+++ b/driftcleat/settings/platform.py
@@ -6,6 +6,9 @@
 from pathlib import Path
 from typing import Any
 
+# With fewer descriptors the parts of the service would have to share them.
+LEAST_DESCRIPTORS = 128
+
 
 class SettingsError(Exception):
     """A settings file that cannot be used; the text names file and key."""
@@ -77,7 +80,11 @@
         Guards against a zone that is cut off with the leader inside, seen on the bench: work in that zone goes on,
         all other work ends with its lease.
         """
-        return sum(other != zone for other in (self.zone, *(peer.zone for peer in self.peers)))
+        return 1 + len(self.peers) - self.controllers_in(zone)
+
+    def controllers_in(self, zone: str) -> int:
+        """Return how many of the controllers are in a zone."""
+        return sum(other == zone for other in (self.zone, *(peer.zone for peer in self.peers)))
 
 
 _REQUIRED = object()
@@ -184,6 +191,9 @@
     names = [label, *(peer.label for peer in peers)]
     if len(set(names)) != len(names):
         raise top.fail("known", "a label appears twice")
+    fd_limit = resources.count("fd_limit", 1024)
+    if fd_limit < LEAST_DESCRIPTORS:
+        raise resources.fail("fd_limit", f"must be at least {LEAST_DESCRIPTORS}")
     return Platform(
         label=label, zone=top.text("domain"), bind=top.address("bind"), back=top.address("back"), peers=peers,
         cloud=external.address("cloud"), state=external.address("state"), zones=tuple(zones),
@@ -196,5 +206,5 @@
         value_bytes=int(state.number("value_kb", positive=True) * 1024), txn_ops=state.count("txn_ops"),
         cloud_rps=cloud.number("rps", positive=True), list_lag_s=cloud.number("list_lag_s"),
         core_share=resources.number("core_share", 1.0, positive=True),
-        memory_mb=resources.number("memory_mb", 256.0, positive=True), fd_limit=resources.count("fd_limit", 1024),
+        memory_mb=resources.number("memory_mb", 256.0, positive=True), fd_limit=fd_limit,
     )
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from driftcleat.fleet.arrivals import Arrivals
+from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
 from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, Place, TaskState, change_machine
 from driftcleat.placement.engine import MANY, Limits, PlacementRound, Preemption, plan_preemption
@@ -26,9 +27,6 @@
 log = logging.getLogger(__name__)
 
 INFINITE = float("inf")
-# So few silent machines say nothing of the others; so large a part of a zone is the whole of it.
-FEW = 3
-MOST = 0.8
 
 
 @dataclass(slots=True)
@@ -706,7 +704,7 @@
                           lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now or offer[1] in dark, 64,
                           self.platform.away)
 
-    def _feared_lost(self, silence: "Silence", now: float) -> list[Demand]:
+    def _feared_lost(self, silence: Silence, now: float) -> list[Demand]:
         """Return the work of the two highest ranks on machines that fell silent with many others, whose leases must
         have ended: room for it boots while it is found out whether they are gone.
 
@@ -837,16 +835,17 @@
         since = machine.heard_at if machine.report is not None else (machine.running_since or now)
         return now - max(since, self.cluster.started_at)
 
-    def _fitting_elsewhere(self, silence: "Silence", now: float) -> set[str]:
+    def _fitting_elsewhere(self, silence: Silence, now: float) -> set[str]:
         """Return machines that fell silent with many others and whose work finds room, images and all, on machines
         that are heard.
 
         To wait for them would help nobody; where the image is missing, they are likely back before it is fetched.
-        Guards against lost work that waits although there is room for it. A zone that is dark as a whole is cut off:
-        its work may well go on.
+        Guards against lost work that waits although there is room for it. In a zone that is dark as a whole the work
+        may well go on, if there is a controller in it that answers reports.
         """
         given_up = [machine for machine in self.cluster.machines.values()
-                    if self._runs(machine) and silence.together(machine.zone) and not silence.dark(machine.zone)
+                    if self._runs(machine) and silence.together(machine.zone)
+                    and not (silence.dark(machine.zone) and self.platform.controllers_in(machine.zone))
                     and silence.alone_s < self._silent_s(machine, now) <= silence.together_s]
         if not given_up:
             return set()
@@ -869,7 +868,7 @@
                 out.add(machine.name)
         return out
 
-    def silence(self, now: float) -> "Silence":
+    def silence(self, now: float) -> Silence:
         """Return which machines are silent, by zone, as it looks now."""
         silence = Silence(self.platform.lease_s * self.tuning.lost, self.platform.lease_s * self.tuning.cut,
                           self.tuning.many)
@@ -988,66 +987,6 @@
             and (gpus <= 0 or spec.gpus > 0 or cpus > 0))
 
 
-class Silence:
-    """How many machines are silent, by zone, and how long that is borne.
-
-    A machine that is silent alone is given up soon: it is most likely gone. Many that fall silent together were cut
-    off or hang, and come back with all that they have cached, often before new ones have booted and fetched as much;
-    those that did die are listed as failed, and given up then. Guards against returning fifty machines three seconds
-    before they went on, seen on the bench.
-    """
-
-    def __init__(self, alone_s: float, together_s: float, many: float) -> None:
-        self.alone_s, self.together_s, self.many = alone_s, max(alone_s, together_s), many
-        self.zones: dict[str, list[int]] = {}
-        self.silent = self.known = 0
-        self._lately: set[str | None] = set()
-
-    def count(self, zone: str, silent_s: float) -> None:
-        """Count a machine."""
-        row = self.zones.setdefault(zone, [0, 0])
-        # Those that fell silent a little later than the first belong to them.
-        silent = silent_s > self.alone_s / 2
-        row[0] += silent
-        row[1] += 1
-        self.silent += silent
-        self.known += 1
-
-    def remember(self, until: dict[str | None, float], now: float) -> None:
-        """Let what holds now hold for a while longer: those that come back do not all come at once.
-
-        Guards against returning the rest of a zone, its work still running, when the first of it was heard again, as
-        seen on the bench: a worker tries one controller after the other.
-        """
-        for zone in self.zones:
-            if self.dark_now(zone):
-                until[zone] = now + self.alone_s
-        if self._many():
-            until[None] = now + self.alone_s
-        self._lately = {zone for zone, end in until.items() if end > now}
-
-    def _many(self) -> bool:
-        return self.silent > max(FEW, self.known * self.many)
-
-    def dark_now(self, zone: str) -> bool:
-        """Whether nearly all of a zone is silent while others are heard."""
-        silent, known = self.zones.get(zone, (0, 0))
-        return known >= FEW and silent >= known * MOST and self.silent < self.known * MOST
-
-    def dark(self, zone: str) -> bool:
-        """Whether a zone is dark, or was until a moment ago."""
-        return self.dark_now(zone) or zone in self._lately
-
-    def together(self, zone: str) -> bool:
-        """Whether a machine that is silent in this zone most likely fell silent with others."""
-        silent, known = self.zones.get(zone, (0, 0))
-        return (known >= FEW and silent >= known * MOST) or self._many() or not self._lately.isdisjoint((zone, None))
-
-    def borne_s(self, zone: str) -> float:
-        """Return how long silence is borne in a zone."""
-        return self.together_s if self.together(zone) else self.alone_s
-
-
 class _Scene:
     """What one placement round has found out so far."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,12 +9,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Plan
 from driftcleat.model import MachineState
 from driftcleat.net import Door, SocketBudget
 from driftcleat.net.budget import OWN
 from driftcleat.net.door import Guest
-from driftcleat.term import Silence, Ticket
+from driftcleat.term import Ticket
 from driftcleat.wire.workers import Report, TaskReport
 from driftcleat.workers import WorkerClient
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,6 +46,8 @@
     (("deployment", "workers", "lease_s"), 0), (("deployment", "state", "txn_ops"), 2.5),
     (("deployment", "workers", "report_s"), None), (("deployment", "teams"), [{"name": "x"}, {"name": "x"}]),
     (("known",), [{"label": "a", "domain": "z", "address": "h:1"}]),
+    # Guards against a process that starts and then has no descriptor for its lease's renewal.
+    (("deployment", "resources", "fd_limit"), 100),
 ])
 def test_a_bad_setting_is_named(path: tuple[str, ...], value: Any) -> None:
     raw = raw_settings()
--- a/tools/load.py
+++ b/tools/load.py
@@ -1,9 +1,12 @@
-"""Load test: real controller processes at a grown deployment's full size, everything around them stood in for.
+"""Load test: real controller processes at a fleet's full size, everything around them stood in for.
 
-    python -m tools.load [hki | kandla] [--machines N] [--jobs N] [--seconds S]
+    python -m tools.load [hki | kandla | hki-half-more | kandla-half-more] [--machines N] [--jobs N] [--seconds S]
 
-Prints the processor's share (whole and by part), memory and descriptors of each controller, and how long reports and
-submissions took. The stand-ins run in this process, on loopback; they keep no controller to its share of a core.
+Every machine keeps one connection open, as workers do, and each controller has the platform's descriptor limit set
+on its process. Half-way a third of the machines hang and come back, then all controllers are restarted at once.
+Prints processor time (whole and by part), memory and descriptors of each controller, and how long reports,
+submissions and the restart took; exits with 1 if a descriptor or memory limit or a worker's 4 s was passed. The
+stand-ins run in this process, on loopback; they keep no controller to its share of a core.
 """
 
 import argparse
@@ -11,6 +14,7 @@
 import dataclasses
 import os
 import random
+import resource
 import sys
 import tempfile
 import time
@@ -47,9 +51,13 @@
 
 
 SIZES = {
-    "hki": Size(692, 3.0, 17.0, 42.0, 200.0, 50.0, 8.0, 24, 2.0, 0.288, 146.0, 1000),
-    "kandla": Size(552, 2.5, 14.0, 34.0, 250.0, 100.0, 16.0, 12, 5.0, 0.432, 186.0, 1500),
+    "hki": Size(619, 3.0, 17.0, 42.0, 200.0, 50.0, 8.0, 24, 2.0, 0.252, 151.0, 924),
+    "kandla": Size(591, 2.5, 14.0, 34.0, 300.0, 120.0, 16.0, 12, 6.0, 0.468, 201.0, 1571),
 }
+SIZES |= {f"{name}-half-more": dataclasses.replace(size, machines=size.machines * 3 // 2)
+          for name, size in SIZES.items()}
+# A worker gives an answer up after so long.
+WORKER_S = 4.0
 
 
 def toml(site: Site, label: str, size: Size) -> str:
@@ -103,8 +111,10 @@
         self.world.fronts[label] = self.platforms[label].bind
 
     async def _run(self, label: str, path: Path) -> None:
+        limit = self.size.fd_limit
         process = await asyncio.create_subprocess_exec(
-            sys.executable, str(ROOT / "run.py"), "--config", str(path), env={**os.environ, "LOG_LEVEL": "error"})
+            sys.executable, str(ROOT / "run.py"), "--config", str(path), env={**os.environ, "LOG_LEVEL": "error"},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)))
         self.controllers[label] = process
         try:
             await process.wait()
@@ -122,6 +132,74 @@
             len(os.listdir(f"/proc/{pid}/fd")))
 
 
+class Peaks:
+    """The most that any controller used, sampled while the load is played."""
+
+    def __init__(self) -> None:
+        self.memory, self.sockets = 0.0, 0
+
+    async def watch(self, site: "Process") -> None:
+        """Sample for ever."""
+        while True:
+            for process in list(site.controllers.values()):
+                try:
+                    _, memory, sockets = usage(process.pid)
+                except OSError:
+                    continue
+                self.memory, self.sockets = max(self.memory, memory), max(self.sockets, sockets)
+            await asyncio.sleep(0.2)
+
+
+class Answers:
+    """How long reports waited for their answer, as workers see it."""
+
+    def __init__(self, site: Site) -> None:
+        self.taken: list[float] = []
+        self.failed = 0
+        report = site.world._report
+
+        async def timed(worker: Any, newest: Any, sent_at: float) -> None:
+            began = time.monotonic()
+            await report(worker, newest, sent_at)
+            self.taken.append(time.monotonic() - began)
+        site.world._report = timed  # type: ignore[method-assign]
+
+    def late(self) -> int:
+        """Count those that came too late for a worker."""
+        return sum(taken > WORKER_S for taken in self.taken)
+
+
+async def troubles(site: "Process", seconds: float) -> tuple[float, float]:
+    """A third of the machines hang and come back, then all controllers restart; return when the first report was
+    answered and the first leader led after that."""
+    await asyncio.sleep(seconds * 0.5)
+    hung = random.sample(site.world.alive(), len(site.world.alive()) // 3)
+    for worker in hung:
+        worker.hung = True
+    await asyncio.sleep(site.size.report_s * 3)
+    for worker in hung:
+        worker.hung = False
+    await asyncio.sleep(site.size.report_s)
+    for label in list(site.running):
+        await site.kill(label)
+    for label in "abc":
+        site.start(label)
+    began = time.monotonic()
+    while True:
+        for label in "abc":
+            try:
+                counted = await metrics(site, label)
+            except aiohttp.ClientError:
+                continue
+            if counted["role"] == "leading":
+                led = time.monotonic() - began
+                while not counted["reports"]["count"]:
+                    await asyncio.sleep(0.05)
+                    counted = await metrics(site, label)
+                return time.monotonic() - began, led
+        await asyncio.sleep(0.05)
+
+
 async def users(site: Site, specs: list[Submission], stop: float) -> list[float]:
     """Submit all jobs over half the time, and poll each every 5 s; return the submissions' latencies."""
     taken: list[float] = []
@@ -161,12 +239,17 @@
         return dict(await response.json())
 
 
-async def run(size: Size, machines: int, jobs: int, seconds: float) -> None:
-    """Play the load and print what it cost."""
+async def run(size: Size, machines: int, jobs: int, seconds: float) -> bool:
+    """Play the load and print what it cost; whether every limit was kept."""
     site = Process()
     site.size = size
     site.world.pause_s = 0.1
+    answers, peaks = Answers(site), Peaks()
     async with site:
+        # One connection a machine, kept open.
+        assert site.world.session is not None
+        await site.world.session.close()
+        site.world.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=75))
         for number in range(machines):
             site.world.boot(RentalRecord("big", "north" if number % 2 else "south", False, 1, 0.0))
         await until(lambda: len(site.controllers) == 3, "three processes")
@@ -176,9 +259,12 @@
         specs = [job(number, **CHANGES) for number in range(1, jobs + 1)]
         site.world.specs = {spec.id: spec for spec in specs}
         await asyncio.sleep(5)
-        before = {label: usage(process.pid) for label, process in site.controllers.items()}
+        watching = asyncio.ensure_future(peaks.watch(site))
+        trouble = asyncio.ensure_future(troubles(site, seconds))
         began = time.monotonic()
         taken = sorted(await users(site, specs, asyncio.get_running_loop().time() + seconds))
+        answered, led = await trouble
+        watching.cancel()
         spent = time.monotonic() - began
         median, late = (taken[int(len(taken) * share)] * 1e3 for share in (0.5, 0.99))
         print(f"{machines} machines, {jobs} jobs of {CHANGES['hands']} tasks, {spent:.0f} s, a share of "
@@ -186,16 +272,24 @@
         print(f"submissions p50 {median:.0f} ms, p99 {late:.0f} ms; tasks started {site.world.started}")
         for label, process in sorted(site.controllers.items()):
             cpu, memory, sockets = usage(process.pid)
-            print(f"controller {label}: {(cpu - before[label][0]) / spent:.1%} of a core, {memory:.0f} MB, "
+            print(f"controller {label} since the restart: {cpu:.1f} s of a core, {memory:.0f} MB, "
                   f"{sockets} of {size.fd_limit} descriptors")
             counted = await metrics(site, label)
             if counted["role"] == "leading":
-                parts = ", ".join(f"{part} {value / spent:.2%}" for part, value in counted["parts_s"].items())
-                print(f"  leader's parts, of a core: {parts}")
+                parts = ", ".join(f"{part} {value:.2f} s" for part, value in counted["parts_s"].items())
+                print(f"  leader's parts: {parts}; connections {counted['connections']}")
                 print("  " + "; ".join("{} p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms".format(name, **counted[name])
                                        for name in ("reports", "batch", "build", "users")))
         for path in site.paths:
             path.unlink(missing_ok=True)
+    slowest = sorted(answers.taken)
+    print(f"reports: {len(slowest)}, p50 {slowest[len(slowest) // 2] * 1e3:.0f} ms, p99 "
+          f"{slowest[int(len(slowest) * 0.99)] * 1e3:.0f} ms, {answers.late()} above {WORKER_S:.0f} s")
+    print(f"all controllers restarted: a leader after {led:.2f} s, the first report answered after {answered:.2f} s")
+    print(f"most at once: {peaks.memory:.0f} of {size.memory_mb:.0f} MB, "
+          f"{peaks.sockets} of {size.fd_limit} descriptors")
+    return (peaks.memory < size.memory_mb and peaks.sockets < size.fd_limit
+            and answers.late() <= len(answers.taken) // 1000)
 
 
 def main() -> None:
@@ -207,7 +301,8 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     asked = parser.parse_args()
     size = SIZES[asked.site]
-    asyncio.run(run(size, asked.machines or size.machines, asked.jobs, asked.seconds))
+    kept = asyncio.run(run(size, asked.machines or size.machines, asked.jobs, asked.seconds))
+    sys.exit(0 if kept else 1)
 
 
 if __name__ == "__main__":
