Machines that the list no longer names are given up at once

Guards against a wave of spot machines taken without notice: silent together and never listed as failed, their work waited 4.5 leases.

--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -91,7 +91,7 @@
 
     def _take_list(self, term: Term, machines: list[Listed]) -> None:
         now = self.clock()
-        names = set()
+        names: set[str] = set()
         greet: list[Machine] = []
         for entry in machines:
             names.add(entry.name)
@@ -114,6 +114,9 @@
                     greet.append(machine)
         if greet and not self.greeting:
             self.controller.spawn(self._greet(term, greet))
+        term.listed = names
+        for machine in term.vanished(now):
+            self._give_back(term, machine, "not listed any more")
         if now - term.cluster.started_at > self.platform.lease_s + self.platform.list_lag_s * 2:
             for name in [name for name in term.cluster.known_images if name not in names]:
                 term.forget_images(name)
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -94,6 +94,8 @@
         # Machines whose room is kept for a job until a time: what it displaced, or what its gang still lacks.
         self.held: dict[str, tuple[str, float]] = {}
         self.draining: set[str] = set()
+        # The machines that the cloud's newest list names; None before the first.
+        self.listed: set[str] | None = None
         # Until when a zone counts as dark (under its name), or machines as silent together (under none).
         self._silences: dict[str | None, float] = {}
         self._order: tuple[int, list[Job], set[str]] | None = None
@@ -950,7 +952,27 @@
             return set()
         silence = self.silence(now)
         return {name for name, places in self.cluster.waiting.items()
-                if silent_s > max(silence.borne_s(place.zone) for place in places.values())}
+                if silent_s > max(silence.borne_s(place.zone) for place in places.values())
+                or (self.listed is not None and name not in self.listed and silent_s > self._list_covers_s)}
+
+    @property
+    def _list_covers_s(self) -> float:
+        """The age from which every list, however late, names a machine that is there."""
+        return self.platform.list_lag_s * 2 + self.platform.report_s
+
+    def vanished(self, now: float) -> list[Machine]:
+        """Return silent machines that the list ought to name and does not: taken back, most likely.
+
+        Guards against a wave of spot machines taken without notice: silent together, and never listed as failed,
+        their work waited as long as for machines that were cut off.
+        """
+        listed = self.listed
+        if listed is None:
+            return []
+        return [machine for machine in self.cluster.machines.values()
+                if machine.name not in listed and machine.state in (MachineState.UP, MachineState.DRAINING)
+                and now - machine.heard_at > self.platform.report_s * 3
+                and now - machine.rented_at > self._list_covers_s]
 
     def known_machine(self, name: str, now: float) -> Machine:
         """Return a machine by name, also one that only the records know."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -279,6 +279,28 @@
     assert "vm-north-0" in {machine.name for machine in term.surplus(kept(term), now[0])}, "not for ever"
 
 
+def test_machines_that_were_taken_back_are_not_waited_for_however_many() -> None:
+    """Guards against a wave of spot machines taken without notice: silent together and never listed as failed."""
+    now = [1000.0]
+    term = fleet_term(now, 20)
+    term.listed = {name for name in term.cluster.machines if not name.startswith("vm-north")}
+    assert term.vanished(now[0]) == [], "heard just now"
+    now[0] += SITE.report_s * 3 + 0.1
+    assert term.vanished(now[0]) == [], "a list may be twice its lag late, and these are new"
+    for machine in term.cluster.machines.values():
+        machine.rented_at -= 100.0
+    assert {machine.zone for machine in term.vanished(now[0])} == {"north"}
+    assert term.surplus(kept(term), now[0]) == [], "what the list does name is waited for"
+    # The same for machines that only the records know, after all controllers were gone.
+    term.cluster.started_at = now[0] - 2 * SITE.list_lag_s - SITE.report_s - SITE.lease_s
+    place = type("P", (), {"zone": "north"})()
+    term.cluster.waiting = {"vm-taken": {("req-000009", 0): place}, "vm-south-0x": {("req-000009", 1): place}}
+    term.listed.add("vm-south-0x")
+    for machine in term.cluster.machines.values():
+        machine.heard_at = now[0] if machine.zone == "south" else now[0] - SITE.lease_s
+    assert term.unheard(now[0]) == {"vm-taken"}
+
+
 def test_a_new_leader_does_not_take_a_cut_off_zone_for_late_boots() -> None:
     """Guards against returning a whole zone, seen on the bench: its machines were old and had not reported yet."""
     now = [1000.0]
