--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -209,6 +209,11 @@
     back = counted({"north": (2, 60), "south": (0, 60)})
     back.remember(until_when, 105.0)
     assert back.dark("north") and not back.dark_now("north") and back.borne_s("north") == 40.0
+    many: dict[str | None, float] = {}
+    counted({"north": (8, 60), "south": (0, 60)}).remember(many, 100.0)
+    few = counted({"north": (2, 60), "south": (0, 60)})
+    few.remember(many, 105.0)
+    assert few.borne_s("north") == 40.0, "the same for many that hang"
     later = counted({"north": (2, 60), "south": (0, 60)})
     later.remember(until_when, 120.0)
     assert later.borne_s("north") == 10.0
@@ -290,6 +295,10 @@
     for machine in term.cluster.machines.values():
         machine.rented_at -= 100.0
     assert {machine.zone for machine in term.vanished(now[0])} == {"north"}
+    heard = term.cluster.machines["vm-north-0"]
+    heard.heard_at, before = now[0], heard.heard_at
+    assert heard not in term.vanished(now[0]), "it was heard after the list was drawn up"
+    heard.heard_at = before
     assert term.surplus(kept(term), now[0]) == [], "what the list does name is waited for"
     # The same for machines that only the records know, after all controllers were gone.
     term.cluster.started_at = now[0] - 2 * SITE.list_lag_s - SITE.report_s - SITE.lease_s
@@ -390,6 +399,9 @@
     assert (status, answer) == (200, {"helm": token, "signals": []}), "the last leader's token, and no command"
     status, _, _ = await site.call(inside, "POST", "/agent/beat", report | {"helm": token + 1})
     assert status == 421 and election.tended_token is None, "a worker that has heard of a newer leader is not held"
+    # It goes on finding nobody, and still keeps nobody's lease.
+    await asyncio.sleep(4 * election.ttl_s)
+    assert election.tended_token is None
     election.outranked = False
     await until(lambda: election.tended_token is not None, "it tends")
     election.hold_s = 0.0
