--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -246,22 +246,24 @@
     return Plan({}, set(term.cluster.machines))
 
 
-def test_machines_that_hang_together_are_waited_for_and_one_alone_is_not() -> None:
-    """Guards against returning fifty machines three seconds before they went on, seen on the bench."""
-    now = [1000.0]
+def partly_silent(now: list[float], silent: int):  # type: ignore[no-untyped-def]
+    """Return a term in which the first so many machines of the north are silent for longer than one alone may be."""
     term = fleet_term(now, 20)
     now[0] += SITE.lease_s * term.tuning.lost + 0.1
-    hear(term, now, "north", 2, lambda number: number > 0)
+    hear(term, now, "north", 2, lambda number: number >= silent)
     hear(term, now, "south", 2)
     term.cluster.machines["vm-1"].heard_at = now[0]
+    return term
+
+
+def test_machines_that_hang_together_are_waited_for_and_one_alone_is_not() -> None:
+    """Guards against returning fifty machines three seconds before they went on, seen on the bench."""
+    now = [1000.0]
+    term = partly_silent(now, 1)
     assert [machine.name for machine in term.surplus(kept(term), now[0])] == ["vm-north-0"]
 
     now = [1000.0]
-    term = fleet_term(now, 20)
-    now[0] += SITE.lease_s * term.tuning.lost + 0.1
-    hear(term, now, "north", 2, lambda number: number > 4)
-    hear(term, now, "south", 2)
-    term.cluster.machines["vm-1"].heard_at = now[0]
+    term = partly_silent(now, 5)
     # They hold work for which there is no room elsewhere.
     for machine in term.cluster.machines.values():
         machine.cpus, machine.gpus = 16.0, 4.0
