A leader unsure of the store ends with a higher token known, not with a peer being served

Cause: an unsure leader began its bound anew whenever all peers were refused, also if one of them had led since; a follower counted contact with an unsure leader as fresh, so two bounds added up; an unsure leader listed, greeted and fenced nothing. Now every peer vouches with a token it has read in this life, and committed cancellations go on.

--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -10,13 +10,13 @@
 from driftcleat.api import Answer, UserApi, serve
 from driftcleat.fleet.cloud import CloudClient
 from driftcleat.fleet.keeper import FleetKeeper
-from driftcleat.leadership import Election, Role
+from driftcleat.leadership import Election, Outlook, Role
 from driftcleat.metrics import Metrics
-from driftcleat.model import Cluster
+from driftcleat.model import Batch, Cluster
 from driftcleat.net import SocketBudget
 from driftcleat.peers import PeerClient
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import Conflict, Malformed, StoreClient, StoreError, StoreLimits
+from driftcleat.store.client import Conflict, Malformed, StoreClient, StoreError, StoreLimits, Unknown
 from driftcleat.store.records import (
     BATCH,
     CHUNKS,
@@ -88,7 +88,7 @@
         self.workers = WorkerClient(workers, platform.report_s, sockets.workers.total)
         self.users = UserApi(platform, self.tuning, self.store, self.peers, self)
         self.election = Election(platform, self.tuning, self.store, self.rng, self.clock, self._rebuild,
-                                 self._resigned, self._store_elsewhere, self._peers_answer)
+                                 self._resigned, self._ask_peers)
         self.keeper = FleetKeeper(self)
         self.front = await serve(platform.bind, self._handle_front, sockets.front, workers=REPORTS)
         servers = [await serve(platform.back, self._handle_back, sockets.back, 256 * 1024), self.front]
@@ -134,6 +134,12 @@
         """Whether this controller leads for certain."""
         return self.term is not None and self.election.holds
 
+    @property
+    def standing(self) -> Term | None:
+        """The term whose committed stops are to be carried out: also while this leader is unsure."""
+        unsure = self.election.role is Role.UNSURE and self.election.answers_workers
+        return self.term if unsure or self.holds else None
+
     @property
     def leader(self) -> str | None:
         """The leader's label as far as known."""
@@ -174,20 +180,20 @@
         self.users.drop_outstanding()
         self._announce_commit()
 
-    async def _peers_answer(self) -> bool:
-        """Whether a controller answers that is served by the store or leads: workers had better go there."""
-        views = await self.peers.views(self.election.ttl_s * 0.4)
-        return any(_served(view) or view.role in LEADS for view in views)
-
-    async def _store_elsewhere(self) -> str:
-        """Ask the peers whether the store serves them: `served`, `refused` (all say so), `partly` or `silent`."""
-        self.users.drop_outstanding()
+    async def _ask_peers(self) -> Outlook:
+        """Ask the other controllers how they see the store and who leads."""
+        if self.election.reigns:
+            self.users.drop_outstanding()
+        asked_at = self.clock()
         views = await self.peers.views(self.election.ttl_s * 0.4)
-        if any(map(_served, views)):
-            return "served"
-        if len(views) == len(self.platform.peers):
-            return "refused"
-        return "partly" if views else "silent"
+        contacts = [asked_at if _served(view) else asked_at - view.assured_age_s for view in views
+                    if _served(view) or (view.role in LEADS and view.assured_age_s >= 0)]
+        highest = max(views, key=lambda view: view.token, default=None)
+        return Outlook(
+            in_reach=any(_served(view) or view.role in LEADS for view in views),
+            contact_at=max(contacts, default=float("-inf")), token=highest.token if highest else 0,
+            leader=highest.leader if highest else None,
+            all_vouch=len(views) == len(self.platform.peers) and all(view.vouches for view in views))
 
     # -- writing ------------------------------------------------------------------------------------------
 
@@ -224,7 +230,7 @@
                 log.error("batch dropped: %s", error)
                 continue
             try:
-                revision = await self._commit(term, encoded)
+                revision = await self._commit(term, batch, encoded)
             except Deposed:
                 continue
             self.metrics.batch_ms.record(self.clock() - started)
@@ -240,8 +246,9 @@
         self.committed = asyncio.Event()
         self.keeper.wake.set()
 
-    async def _commit(self, term: Term, encoded: EncodedBatch) -> int:
+    async def _commit(self, term: Term, batch: Batch, encoded: EncodedBatch) -> int:
         """Have the store take a batch; resend or read back until its outcome is known."""
+        perhaps_taken = False
         while True:
             try:
                 return await self.store.txn_raw(encoded.body, encoded.changes)
@@ -258,8 +265,11 @@
                 raise Deposed from None
             except StoreError as error:
                 log.debug("batch: %s", error)
+                perhaps_taken = perhaps_taken or isinstance(error, Unknown)
             if self.term is not term:
                 raise Deposed
+            if perhaps_taken and self.election.role is Role.UNSURE and term.doubt_cancels(batch):
+                self._announce_commit()
             await asyncio.sleep(self.election.ttl_s * 0.06)
 
     async def _read_back(self, term: Term, mark: BatchMark) -> int | None:
@@ -376,10 +386,8 @@
             term = self.term
             if term is None or not self.election.answers_workers:
                 continue
-            for machine in list(term.cluster.machines.values()):
-                if any(place.stop is not None or machine_job_cancelled(term, key)
-                       for key, place in machine.tasks.items()):
-                    self._send_stops(term, machine.name)
+            for name in list(term.cluster.machines):
+                self._send_stops(term, name)
             self.kick()
 
     async def raise_token(self, addr: str) -> None:
@@ -471,16 +479,11 @@
         served, refused = self.store.served_at, self.store.refused_at
         return peer_messages.View(self.platform.label, self.election.role.value, self.leader,
                                   self.election.leader_token, now - served if served is not None else -1.0,
-                                  now - refused if refused is not None else -1.0)
+                                  now - refused if refused is not None else -1.0,
+                                  self.election.vouches,
+                                  now - self.election.assured_at if self.election.reigns else -1.0)
 
 
 def _served(view: peer_messages.View) -> bool:
     """Whether the store has served this controller just now."""
     return 0 <= view.served_age_s < 0.5
-
-
-def machine_job_cancelled(term: Term, key: tuple[str, int]) -> bool:
-    """Whether a placed task belongs to a cancelled job."""
-    job = term.cluster.jobs.get(key[0])
-    return job is not None and job.state.value == "cancelled"
-
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -29,6 +29,8 @@
         self.listed_at = float("-inf")
         self.heard_at = float("-inf")
         self.returning: set[str] = set()
+        # Of those, the machines that keep a task of a job whose cancellation is committed.
+        self.fencing: set[str] = set()
         self.missing: dict[str, float] = {}
         self.greeting = False
         self.wake = asyncio.Event()
@@ -38,7 +40,7 @@
         self.types_at = self.listed_at = float("-inf")
         self.types_stored = types_stored
         self.heard_at = self.clock()
-        self.returning, self.missing = set(), {}
+        self.returning, self.fencing, self.missing = set(), set(), {}
         self.greeting = False
 
     def loops(self) -> list[Callable[[], Awaitable[None]]]:
@@ -48,6 +50,14 @@
     def _term(self) -> Term | None:
         return self.controller.term if self.controller.holds else None
 
+    def _standing(self) -> Term | None:
+        """The term whose cancellations are carried out: an unsure leader goes on with what is committed.
+
+        Guards against cancelled tasks that an earlier leader's workers keep while the store is down for all: their
+        addresses come from the list, they are shown our token, and the cloud fences what does not obey.
+        """
+        return self.controller.standing
+
     async def _types_loop(self) -> None:
         while True:
             term = self._term()
@@ -78,7 +88,7 @@
     async def _list_loop(self) -> None:
         pause = max(2.0 / self.platform.cloud_rps, self.platform.list_lag_s / 2)
         while True:
-            term = self._term()
+            term = self._standing()
             if term is not None and self.clock() - self.listed_at > pause:
                 try:
                     machines = await self.controller.cloud.machines()
@@ -138,7 +148,7 @@
         try:
             await asyncio.sleep(max(0.0, term.place_from - self.clock()))
             for machine in machines:
-                if self._term() is term and machine.report is None and machine.state is MachineState.BOOTING:
+                if self._standing() is term and machine.report is None and machine.state is MachineState.BOOTING:
                     self.controller.spawn(self.controller.raise_token(machine.addr))
                     await asyncio.sleep(self.platform.report_s / 300)
         finally:
@@ -152,12 +162,14 @@
             except TimeoutError:
                 pass
             self.wake.clear()
-            term = self._term()
-            if term is None or not term.cluster.types:
+            term = self._standing()
+            if term is None:
                 continue
             now = self.clock()
             for name in term.fenced():
-                self._give_back(term, term.known_machine(name, now), "keeps a cancelled task")
+                self._fence(term, term.known_machine(name, now))
+            if self._term() is None or not term.cluster.types:
+                continue
             for name in term.unheard(now):
                 self._give_back(term, term.known_machine(name, now), "not heard of")
             if now < term.place_from:
@@ -184,9 +196,17 @@
                 self.heard_at = now
                 self.controller.election.ask_resign("no worker reports to us")
 
+    def _fence(self, term: Term, machine: Machine) -> None:
+        """Have the cloud end a machine that keeps a cancelled task; no new decision, so also while unsure."""
+        self.fencing.add(machine.name)
+        self._give_back(term, machine, "keeps a cancelled task")
+
     def _give_back(self, term: Term, machine: Machine, why: str) -> None:
         if machine.state in (MachineState.RETURNING, MachineState.GONE):
             return
+        if machine.name not in self.fencing and self._term() is None:
+            # An unsure leader decides nothing new.
+            return
         log.info("returning %s: %s", machine.name, why)
         change_machine(machine, MachineState.RETURNING)
         self.returning.add(machine.name)
@@ -227,10 +247,12 @@
     async def _return_loop(self) -> None:
         while True:
             await asyncio.sleep(self.platform.report_s / 15)
-            term = self._term()
-            if term is None or not self.returning:
+            term = self._standing()
+            if term is None:
+                continue
+            names = sorted(self.returning if self._term() is term else self.returning & self.fencing)[:100]
+            if not names:
                 continue
-            names = sorted(self.returning)[:100]
             try:
                 await self.controller.cloud.give_back(names)
             except CloudError as error:
@@ -241,6 +263,7 @@
                 continue
             for name in names:
                 self.returning.discard(name)
+                self.fencing.discard(name)
                 machine = term.cluster.machines.get(name)
                 term.forget_images(name)
                 if machine is not None:
--- a/driftcleat/leadership/__init__.py
+++ b/driftcleat/leadership/__init__.py
@@ -1,6 +1,6 @@
 """Leadership: one leader by a key attached to a lease; the revision of the winning put is the token."""
 
-from .election import Election, LeaderKey, Role
+from .election import Election, LeaderKey, Outlook, Role
 from .lease import LeaseClock
 
-__all__ = ["Election", "LeaderKey", "LeaseClock", "Role"]
+__all__ = ["Election", "LeaderKey", "LeaseClock", "Outlook", "Role"]
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
 import msgspec
@@ -47,6 +48,21 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What the other controllers say when asked.
+
+    Whether one of them is served by the store or leads; as of when that was certain; the highest token that any of
+    them knows and whose it is; whether every one of them vouches for what it knows.
+    """
+
+    in_reach: bool = False
+    contact_at: float = float("-inf")
+    token: int = 0
+    leader: str | None = None
+    all_vouch: bool = False
+
+
 class LeaderKey(msgspec.Struct, array_like=True):
     """The leader key's value: who holds it, and which of its lives."""
 
@@ -59,11 +75,9 @@
 
     def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, rng: random.Random,
                  clock: Callable[[], float], rebuild: Callable[[int], Awaitable[None]],
-                 resign: Callable[[], None], store_elsewhere: Callable[[], Awaitable[str]],
-                 peers_answer: Callable[[], Awaitable[bool]]) -> None:
+                 resign: Callable[[], None], ask_peers: Callable[[], Awaitable[Outlook]]) -> None:
         self.platform, self.tuning, self.store, self.rng, self.clock = platform, tuning, store, rng, clock
-        self.rebuild, self.on_resign, self.store_elsewhere = rebuild, resign, store_elsewhere
-        self.peers_answer = peers_answer
+        self.rebuild, self.on_resign, self.ask_peers = rebuild, resign, ask_peers
         self.role = Role.FOLLOWER
         self.ttl_s = platform.lease_s * tuning.ttl
         self.lease = LeaseClock(self.ttl_s, tuning.drift)
@@ -74,9 +88,14 @@
         self.stand_back_until = float("-inf")
         self._resign_wanted: str | None = None
         self._revision = 0
-        self._unsure_since = 0.0
-        # When the store or another controller last answered us; whether a worker since showed a token above ours.
-        self._contact_at = clock()
+        # While unsure: when last every other controller vouched that nobody leads after us.
+        self._vouched_at = float("-inf")
+        # Whether a leader key was read in this life: before, an earlier life of ours may have led unknown to us.
+        self.vouches = False
+        # When the store, or a controller that is served or leads, last answered us; whether a worker since showed a
+        # token above ours.
+        # Before the first contact nothing is kept: a leader of before may have confirmed what we never heard of.
+        self._contact_at = float("-inf")
         self.outranked = False
         # Leases kept by who cannot hear of cancellations must end within the time that a cancellation has.
         self.hold_s = max(0.0, min(platform.lease_s * tuning.hold,
@@ -98,10 +117,31 @@
         return self.role is Role.LEADING and self.lease.valid(self.clock())
 
     @property
-    def answers_workers(self) -> bool:
-        """Whether reports are answered with our token."""
+    def reigns(self) -> bool:
+        """Whether this is a leader, sure of it or not."""
         return self.role in (Role.REBUILDING, Role.LEADING, Role.UNSURE)
 
+    @property
+    def answers_workers(self) -> bool:
+        """Whether reports are answered with our token.
+
+        Guards against a process that was held up, or a rebuilding that hangs: however it stands with the loops, no
+        lease is kept for longer than a cancellation confirmed by a leader after us allows.
+        """
+        return self.reigns and self.clock() - self.assured_at <= self.hold_s
+
+    @property
+    def assured_at(self) -> float:
+        """Return the last moment at which it was certain that no controller had confirmed what we cannot know.
+
+        Of a leader: that nobody led after it. Otherwise: that the store or who is served or leads was in reach. What
+        is kept beyond it is bounded by `hold_s`, and counted from it by whoever keeps it next, so that the bounds of
+        two controllers in turn do not add up.
+        """
+        if self.reigns:
+            return max(self.lease.certain_until(self.clock()), self._vouched_at)
+        return self._contact_at
+
     @property
     def tended_token(self) -> int | None:
         """The token with which a follower that is cut off keeps workers' leases; None if it must not.
@@ -122,7 +162,7 @@
 
     def ask_resign(self, why: str) -> None:
         """Step down as soon as possible."""
-        if self.answers_workers:
+        if self.reigns:
             self._resign_wanted = why
             self._wake.set()
 
@@ -176,7 +216,7 @@
         label = self._key(item).label
         if label != self.leader:
             log.info("leader is %s (token %d)", label, item.version)
-        self.leader, self.leader_token = label, item.version
+        self.leader, self.leader_token, self.vouches = label, item.version, True
 
     def learn(self, label: str | None, token: int) -> None:
         """A peer says who leads; the store's word, and a higher token, go before it."""
@@ -186,25 +226,34 @@
             self.leader, self.leader_token = label, token
 
     async def _consider_tending(self) -> None:
-        """The store does not serve us: if no controller answers either, keep the leases of workers that ask."""
-        if await self.peers_answer():
-            self._in_contact()
+        """The store does not serve us: if no controller answers either, keep the leases of workers that ask.
+
+        The contact with a leader that is itself unsure counts from when it was last assured. Guards against two
+        bounds that add up: a leader cut off with us keeps the leases to its end, and we once more after it.
+        """
+        outlook = await self.ask_peers()
+        self.learn(outlook.leader, outlook.token)
+        if outlook.contact_at > self._contact_at:
+            self._in_contact(outlook.contact_at)
+        if outlook.in_reach:
+            if self.role is Role.TENDING:
+                self.change(Role.FOLLOWER)
         elif self.role is Role.FOLLOWER and self.leader_token and not self.outranked and (
                 self.clock() - self._contact_at < self.hold_s):
             self.change(Role.TENDING)
         elif self.role is Role.TENDING and self.tended_token is None:
             self.change(Role.FOLLOWER)
 
-    def _in_contact(self) -> None:
-        """The store or a controller has answered."""
-        self._contact_at, self.outranked = self.clock(), False
-        if self.role is Role.TENDING:
-            self.change(Role.FOLLOWER)
+    def _in_contact(self, at: float) -> None:
+        """The store or a controller that is served or leads has answered, as of that moment."""
+        self._contact_at, self.outranked = at, False
 
     async def _follow(self) -> None:
         # A read that hangs must not outlast the workers' leases.
         page = await self.store.page(LEADER, None, 1, self.ttl_s)
-        self._in_contact()
+        self._in_contact(self.clock())
+        if self.role is Role.TENDING:
+            self.change(Role.FOLLOWER)
         self._revision = page.revision
         if page.items:
             item = page.items[0]
@@ -249,8 +298,9 @@
                 return
             token = item.version
         self.token = self.leader_token = token
-        self.leader = self.platform.label
+        self.leader, self.vouches = self.platform.label, True
         self._resign_wanted = None
+        self._vouched_at = float("-inf")
         self.change(Role.REBUILDING)
         keeper = asyncio.ensure_future(self._renew_while_rebuilding())
         try:
@@ -306,7 +356,6 @@
             pause = self.ttl_s * 0.1
             if self.role is Role.LEADING and self.lease.left(self.clock()) < self.ttl_s * 0.4:
                 self.change(Role.UNSURE)
-                self._unsure_since = self.clock()
         if self.role is Role.UNSURE:
             await self._doubt()
         try:
@@ -316,26 +365,25 @@
             pass
 
     async def _doubt(self) -> None:
-        """The store does not serve us: if it serves a peer, that one shall lead.
+        """The store does not serve us: go on until another leads.
 
-        While it refuses every controller nobody else can lead, so the workers' leases are kept for as long as that
+        While every controller vouches that nobody leads after us, the workers' leases are kept for as long as that
         lasts. Guards against an outage of a minute that cost all running work, seen on the bench: the leader gave
-        up after two worker leases.
+        up after two worker leases. But a peer may have led after us before it was refused too, and have confirmed
+        cancellations: who knows a higher token ends our term at once, and who is silent, or was started since and
+        has not read the store, vouches for nothing. That the store serves a peer is no reason yet: it cannot lead
+        before our lease has ended, and if an outage comes first, nobody would keep the leases.
         """
-        seen = await self.store_elsewhere()
-        if seen == "refused":
-            # Just now nobody else could lead: one slow answer after a long outage must not end it at once.
-            self._unsure_since = self.clock()
-        unsure_s = self.clock() - self._unsure_since
-        if seen == "served":
-            try:
-                # The outage may have ended while the peers were asked.
-                await self._renew()
-                self.change(Role.LEADING)
-            except StoreError:
-                self.stand_back_until = self.clock() + self.platform.lease_s
-                self._step_down("the store serves a peer but not us")
-        elif unsure_s > self.hold_s:
+        asked_at = self.clock()
+        outlook = await self.ask_peers()
+        if outlook.token > self.token:
+            self.stand_back_until = self.clock() + self.platform.lease_s
+            self._step_down(f"a controller knows token {outlook.token}")
+            self.learn(outlook.leader, outlook.token)
+            return
+        if outlook.all_vouch:
+            self._vouched_at = asked_at
+        if not self.answers_workers:
             # If the store serves somebody, a new leader has shown our workers its token by now, unless all of us
             # here are cut off from it.
             self._step_down("unsure for too long")
@@ -343,7 +391,9 @@
     def _step_down(self, why: str) -> None:
         if self.role is not Role.FOLLOWER:
             log.info("stepping down: %s", why)
-            leading = self.answers_workers
+            leading = self.reigns
+            # What was kept so far counts, should we find ourselves in contact with nobody.
+            self._contact_at = self.assured_at
             self.change(Role.FOLLOWER)
             # What we held as a leader we do not go on to tend: the bound is used up, or another leads.
             self.outranked = True
--- a/driftcleat/leadership/lease.py
+++ b/driftcleat/leadership/lease.py
@@ -27,6 +27,10 @@
         """Whether no other controller can hold the leader key."""
         return self.lease is not None and now < self._valid_until
 
+    def certain_until(self, now: float) -> float:
+        """Return the last moment, now at the latest, up to which no other controller can have held the key."""
+        return min(now, self._valid_until)
+
     def left(self, now: float) -> float:
         """Return the seconds for which the lease certainly holds."""
         return max(0.0, self._valid_until - now) if self.lease is not None else 0.0
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -68,6 +68,8 @@
             for index, place in job.places.items():
                 usage.add(job.spec, 1)
                 self.waiting.setdefault(place.machine, {})[(job.id, index)] = place
+        # Jobs whose cancellation may have been committed: nobody can say before the store answers again.
+        self.doubted_cancels: set[str] = set()
         self.started_at = now
 
     # -- machines -----------------------------------------------------------------------------------------
@@ -255,6 +257,22 @@
         self._leave(batch, job, key[1])
         return True
 
+    def may_be_there(self, key: tuple[str, int], place: Place) -> bool:
+        """Whether the newest report leaves it open that a placed task is on its machine.
+
+        Guards against machines returned for cancelled tasks that are long gone, while the batch that would say so
+        waits for the store.
+        """
+        machine = self.machines.get(place.machine)
+        if machine is None or machine.report is None or not machine.trusted:
+            return True
+        attempt = (key[0], key[1], place.attempt)
+        state = machine.reported.get(attempt)
+        if state is None:
+            offered = machine.offered.get(attempt)
+            return offered is not None and offered >= (machine.report.session, machine.report.seq)
+        return state != wire_workers.EXITED
+
     def _exited(self, machine: Machine, job: Job, index: int, why: str, batch: Batch, now: float) -> None:
         if why == wire_workers.DONE:
             batch.move(job.id, index, TaskState.DONE)
@@ -359,7 +377,7 @@
         for key, place in machine.tasks.items():
             job = self.jobs.get(key[0])
             attempt = (key[0], key[1], place.attempt)
-            if job is None or job.state is not JobState.ACTIVE or place.stop is not None:
+            if job is None or self._cancelled(job) or place.stop is not None:
                 continue
             if attempt in machine.reported or (job.is_gang and attempt in machine.seen):
                 continue
@@ -376,11 +394,15 @@
             job = self.jobs.get(key[0])
             if job is None:
                 continue
-            grace = 0.0 if job.state is not JobState.ACTIVE else place.stop
+            grace = 0.0 if self._cancelled(job) else place.stop
             if grace is not None and machine.phases.get(key) != wire_workers.EXITED:
                 signals.append(Signal(wire_workers.STOP, wire_workers.task_name(*key), place.attempt, grace))
         return signals
 
+    def _cancelled(self, job: Job) -> bool:
+        """Whether a job's tasks are to run no more."""
+        return job.state is not JobState.ACTIVE or job.id in self.doubted_cancels
+
     # -- what users are told ------------------------------------------------------------------------------
 
     def view(self, job: Job) -> JobView:
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -203,6 +203,7 @@
             elif job.state is JobState.CANCELLED:
                 self.urgent.update(place.machine for place in job.places.values())
         self.cluster.commit(batch, revision, now)
+        self.cluster.doubted_cancels.clear()
         if batch.created:
             # A job is placed in the batch after its own: nothing else may come to ask for that round.
             self.note_room()
@@ -219,6 +220,24 @@
         for call in batch.after:
             call()
 
+    def doubt_cancels(self, batch: Batch) -> bool:
+        """Stop the tasks of jobs whose cancellation is in a batch of unknown outcome; False if that is done already.
+
+        The one exception to the change rule, and only while the store is away. Guards against a transaction that was
+        carried out without our knowing: another controller reads the record and tells the user, the store is then
+        down for longer than a cancellation has, and we keep the leases of those very tasks. Their user has asked for
+        it, so nothing of worth is lost if the record says otherwise in the end; the tasks then queue again.
+        """
+        doubted = {job_id for job_id in batch.heads if batch.jobs[job_id].state is JobState.CANCELLED}
+        if doubted <= self.cluster.doubted_cancels:
+            return False
+        self.cluster.doubted_cancels |= doubted
+        for job_id in doubted:
+            job = self.cluster.jobs.get(job_id)
+            if job is not None:
+                self.urgent.update(place.machine for place in job.places.values())
+        return True
+
     def _note_images(self, machine: Machine) -> None:
         """Keep what a machine has cached: a new leader would otherwise fetch it all again elsewhere."""
         images = [(image, size_gb) for image, size_gb in machine.images.items() if image in machine.fetched]
@@ -987,7 +1006,8 @@
         wait = max(0.0, self.platform.cancel_s * self.tuning.fence - 2 * self.platform.clock_off_s)
         for job in self.cluster.jobs.values():
             if job.state is JobState.CANCELLED and wall - job.cancelled_at > wait:
-                names.update(place.machine for place in job.places.values())
+                names.update(place.machine for index, place in job.places.items()
+                             if self.cluster.may_be_there((job.id, index), place))
         return names
 
 
--- a/driftcleat/wire/peers.py
+++ b/driftcleat/wire/peers.py
@@ -10,7 +10,12 @@
 
 
 class View(msgspec.Struct, frozen=True, array_like=True, tag="view"):
-    """How a controller sees the world; ages in seconds, negative when it never happened."""
+    """How a controller sees the world; ages in seconds, negative when it never happened.
+
+    `vouches` says that the speaker has read a leader key since it was started: only then does it know that it has
+    led under no higher token than `token`, in an earlier life either. `assured_age_s` is, of a leader, the age of the
+    last moment at which it knew that nobody led after it.
+    """
 
     sender: str
     role: str
@@ -18,6 +23,8 @@
     token: int
     served_age_s: float
     refused_age_s: float
+    vouches: bool = False
+    assured_age_s: float = -1.0
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 
 from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Plan
+from driftcleat.leadership import Outlook
 from driftcleat.model import MachineState
 from driftcleat.net import Door, SocketBudget
 from driftcleat.net.budget import OWN
@@ -425,12 +426,13 @@
     site.store.down_for.add(inside)
     election = site.controllers[inside].election
     asked: list[bool] = []
-    answers = election.peers_answer
+    ask = election.ask_peers
 
-    async def noted() -> bool:
-        asked.append(await answers())
-        return asked[-1]
-    election.peers_answer = noted
+    async def noted() -> Outlook:
+        outlook: Outlook = await ask()
+        asked.append(outlook.in_reach)
+        return outlook
+    election.ask_peers = noted
     await until(lambda: len(asked) > 3, "it has asked")
     assert all(asked) and election.tended_token is None
     assert election.role.value == "follower"
