--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -6,8 +6,10 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import aiohttp
+
 from driftcleat import wire
-from driftcleat.api import Answer, UserApi, serve
+from driftcleat.api import Answer, Listener, UserApi, serve
 from driftcleat.fleet.cloud import CloudClient
 from driftcleat.fleet.keeper import FleetKeeper
 from driftcleat.leadership import Election, Outlook, Role
@@ -37,7 +39,7 @@
 from driftcleat.term import OpenRental, Term
 from driftcleat.wire import peers as peer_messages
 from driftcleat.wire.cloud import MachineType
-from driftcleat.wire.workers import Orders, Redirect, Report, Signal
+from driftcleat.wire.workers import EXITED, Orders, Redirect, Report, Signal, split_task
 from driftcleat.workers import WorkerClient
 
 log = logging.getLogger(__name__)
@@ -47,6 +49,8 @@
 LITTLE_MB = 64
 # Where workers send their reports.
 REPORTS = "/agent/beat"
+# The most cancelled jobs that a leader names to its followers.
+MOST_NAMED = 500
 # Roles in which a controller answers reports in its own right.
 LEADS = frozenset((Role.REBUILDING.value, Role.LEADING.value, Role.UNSURE.value))
 
@@ -76,22 +80,13 @@
     async def run(self) -> None:
         """Serve for ever."""
         platform = self.platform
-        # Each use has connections of its own: what hangs in one takes none from another.
         sockets = SocketBudget(platform.fd_limit, len(platform.peers))
-        store, lease, cloud, peers, workers = sessions = [
-            part.session(platform.lease_s) for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers,
-                                                        sockets.workers)]
-        self.store = StoreClient(store, lease, platform.state, StoreLimits(platform.state_rps, platform.write_rps,
-                                                                           platform.report_s * 0.5), self.clock)
-        self.cloud = CloudClient(cloud, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
-        self.peers = PeerClient(peers, platform)
-        self.workers = WorkerClient(workers, platform.report_s, sockets.workers.total)
+        sessions = self.connect(sockets)
         self.users = UserApi(platform, self.tuning, self.store, self.peers, self)
         self.election = Election(platform, self.tuning, self.store, self.rng, self.clock, self._rebuild,
-                                 self._resigned, self._ask_peers)
+                                 self._resigned, self._ask_peers, self._ask_leader)
         self.keeper = FleetKeeper(self)
-        self.front = await serve(platform.bind, self._handle_front, sockets.front, workers=REPORTS)
-        servers = [await serve(platform.back, self._handle_back, sockets.back, 256 * 1024), self.front]
+        servers = await self.listen(sockets)
         if platform.memory_mb < LITTLE_MB:
             log.warning("deployment.resources.memory_mb is %g: about %d are needed", platform.memory_mb, LITTLE_MB)
         log.info("controller %s listens on %s and %s", platform.label, platform.bind, platform.back)
@@ -105,6 +100,29 @@
             for session in sessions:
                 await session.close()
 
+    def connect(self, sockets: SocketBudget) -> list[aiohttp.ClientSession]:
+        """Make the clients; return what is to be closed in the end."""
+        platform = self.platform
+        # Each use has connections of its own: what hangs in one takes none from another.
+        store, lease, cloud, peers, workers = sessions = [
+            part.session(platform.lease_s) for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers,
+                                                        sockets.workers)]
+        self.store = StoreClient(store, lease, platform.state, self.store_limits, self.clock)
+        self.cloud = CloudClient(cloud, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
+        self.peers = PeerClient(peers, platform)
+        self.workers = WorkerClient(workers, platform.report_s, sockets.workers.total)
+        return sessions
+
+    @property
+    def store_limits(self) -> StoreLimits:
+        """What the store takes of us."""
+        return StoreLimits(self.platform.state_rps, self.platform.write_rps, self.platform.report_s * 0.5)
+
+    async def listen(self, sockets: SocketBudget) -> list[Listener]:
+        """Open the addresses that are served."""
+        self.front = await serve(self.platform.bind, self.handle_front, sockets.front, workers=REPORTS)
+        return [await serve(self.platform.back, self._handle_back, sockets.back, 256 * 1024), self.front]
+
     async def _contain(self, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop for ever; what it raises is logged, the process never ends itself."""
         while True:
@@ -186,15 +204,30 @@
             self.users.drop_outstanding()
         asked_at = self.clock()
         views = await self.peers.views(self.election.ttl_s * 0.4)
-        contacts = [asked_at if _served(view) else asked_at - view.assured_age_s for view in views
-                    if _served(view) or (view.role in LEADS and view.assured_age_s >= 0)]
         highest = max(views, key=lambda view: view.token, default=None)
+        contact_at, cancelled = _contact(asked_at, [view.standing for view in views])
         return Outlook(
-            in_reach=any(_served(view) or view.role in LEADS for view in views),
-            contact_at=max(contacts, default=float("-inf")), token=highest.token if highest else 0,
-            leader=highest.leader if highest else None,
+            in_reach=any(_served(view) or view.role in LEADS for view in views), contact_at=contact_at,
+            cancelled=cancelled, token=highest.token if highest else 0, leader=highest.leader if highest else None,
             all_vouch=len(views) == len(self.platform.peers) and all(view.vouches for view in views))
 
+    async def _ask_leader(self) -> Outlook:
+        """Ask the leader how it stands."""
+        asked_at, leader = self.clock(), self.leader
+        if leader not in self.peers.addresses:
+            return Outlook()
+        pongs = await self.peers.ping([leader], self.platform.report_s / 10)
+        contact_at, cancelled = _contact(asked_at, [pong.standing for pong in pongs])
+        return Outlook(contact_at=contact_at, cancelled=cancelled)
+
+    def _standing(self) -> peer_messages.Standing | None:
+        """Tell how we stand, if we lead."""
+        if self.term is None or not self.election.reigns:
+            return None
+        cancelled = sorted(self.term.cancelled_there())
+        return peer_messages.Standing(self.clock() - self.election.assured_at,
+                                      cancelled if len(cancelled) <= MOST_NAMED else None)
+
     # -- writing ------------------------------------------------------------------------------------------
 
     async def _write_loop(self) -> None:
@@ -327,7 +360,8 @@
         if self.term is not term or not self.election.answers_workers:
             return Answer(421, wire.encode(Redirect(None)))
         ordered = self.clock()
-        answer = Answer(200, wire.encode(Orders(token, term.cluster.orders(machine, report))))
+        orders = term.cluster.orders(machine, report, self.election.may_start)
+        answer = Answer(200, wire.encode(Orders(token, orders)))
         self.metrics.spent("orders", self.clock() - ordered)
         self.metrics.report_ms.record(self.clock() - started)
         return answer
@@ -337,6 +371,9 @@
         if report.token > token:
             self.election.outrank(report.token)
             return Answer(421, wire.encode(Redirect(None)))
+        live = {split[0] for task in report.tasks if task.state != EXITED and (split := split_task(task.task))}
+        if not self.election.may_tend(live):
+            return Answer(421, wire.encode(Redirect(None)))
         return Answer(200, wire.encode(Orders(token, [])))
 
     async def _await_news(self, term: Term, name: str, report: Report) -> None:
@@ -403,7 +440,7 @@
 
     # -- servers ------------------------------------------------------------------------------------------
 
-    async def _handle_front(self, method: str, path: str, body: bytes) -> Answer:
+    async def handle_front(self, method: str, path: str, body: bytes) -> Answer:
         if path == REPORTS:
             if method != "POST":
                 return Answer.error(405, "only POST is allowed here")
@@ -442,14 +479,14 @@
         if path == "/peer":
             if method != "POST":
                 return Answer.error(405, "only POST is allowed here")
-            return await self._peer(body)
+            return await self.answer_peer(body)
         if path in ("/metrics", "/status"):
             if method != "GET":
                 return Answer.error(405, "only GET is allowed here")
             return Answer(200, wire.encode(self.metrics.status(self)))
         return Answer.error(404, "no such path")
 
-    async def _peer(self, body: bytes) -> Answer:
+    async def answer_peer(self, body: bytes) -> Answer:
         try:
             message: peer_messages.PeerMessage = wire.decode(body, peer_messages.PeerMessage)  # type: ignore[arg-type]
         except wire.WireError as error:
@@ -464,7 +501,8 @@
                                                                    answer.retry_after_s)))
         if isinstance(message, peer_messages.Ping):
             return Answer(200, wire.encode(peer_messages.Pong(
-                self.platform.label, self.election.answers_workers, self.leader, self.election.leader_token)))
+                self.platform.label, self.election.answers_workers, self.leader, self.election.leader_token,
+                self._standing())))
         if isinstance(message, peer_messages.Ask):
             return Answer(200, wire.encode(await self._view()))
         return Answer.error(400, "not a question")
@@ -480,8 +518,16 @@
         return peer_messages.View(self.platform.label, self.election.role.value, self.leader,
                                   self.election.leader_token, now - served if served is not None else -1.0,
                                   now - refused if refused is not None else -1.0,
-                                  self.election.vouches,
-                                  now - self.election.assured_at if self.election.reigns else -1.0)
+                                  self.election.vouches, self._standing())
+
+
+def _contact(asked_at: float, standings: list[peer_messages.Standing | None]) -> tuple[float, frozenset[str]]:
+    """Return as of when the surest leader that was asked was certain, and the cancelled jobs it named."""
+    known = [standing for standing in standings if standing is not None and standing.cancelled is not None]
+    if not known:
+        return float("-inf"), frozenset()
+    surest = min(known, key=lambda standing: standing.assured_age_s)
+    return asked_at - surest.assured_age_s, frozenset(surest.cancelled or ())
 
 
 def _served(view: peer_messages.View) -> bool:
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -39,9 +39,7 @@
             await asyncio.sleep(delay)
         self.requests.take(1)
         try:
-            async with self.session.request(method, self.base + path, data=body,
-                                            timeout=aiohttp.ClientTimeout(total=self.timeout_s)) as response:
-                status, data = response.status, await response.read()
+            status, data = await self._exchange(method, path, body)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise CloudError(f"no answer: {error!r}") from None
         if status == 503 and b"no capacity" in data:
@@ -55,6 +53,12 @@
             log.warning("cloud: malformed answer: %s", error)
             raise CloudError(f"malformed answer: {error}") from None
 
+    async def _exchange(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
+        """Send one request; return status and body."""
+        async with self.session.request(method, self.base + path, data=body,
+                                        timeout=aiohttp.ClientTimeout(total=self.timeout_s)) as response:
+            return response.status, await response.read()
+
     async def types(self) -> tuple[messages.MachineType, ...]:
         """Return the types on offer."""
         return (await self._call("GET", "/machine_types", None, messages.TypesAnswer)).types
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -52,12 +52,14 @@
 class Outlook:
     """What the other controllers say when asked.
 
-    Whether one of them is served by the store or leads; as of when that was certain; the highest token that any of
-    them knows and whose it is; whether every one of them vouches for what it knows.
+    Whether one of them is served by the store or leads; as of when a leader among them was sure of it, and which
+    cancelled jobs' tasks it had not seen gone; the highest token that any of them knows and whose it is; whether
+    every one of them vouches for what it knows.
     """
 
     in_reach: bool = False
     contact_at: float = float("-inf")
+    cancelled: frozenset[str] = frozenset()
     token: int = 0
     leader: str | None = None
     all_vouch: bool = False
@@ -75,9 +77,10 @@
 
     def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, rng: random.Random,
                  clock: Callable[[], float], rebuild: Callable[[int], Awaitable[None]],
-                 resign: Callable[[], None], ask_peers: Callable[[], Awaitable[Outlook]]) -> None:
+                 resign: Callable[[], None], ask_peers: Callable[[], Awaitable[Outlook]],
+                 ask_leader: Callable[[], Awaitable[Outlook]]) -> None:
         self.platform, self.tuning, self.store, self.rng, self.clock = platform, tuning, store, rng, clock
-        self.rebuild, self.on_resign, self.ask_peers = rebuild, resign, ask_peers
+        self.rebuild, self.on_resign, self.ask_peers, self.ask_leader = rebuild, resign, ask_peers, ask_leader
         self.role = Role.FOLLOWER
         self.ttl_s = platform.lease_s * tuning.ttl
         self.lease = LeaseClock(self.ttl_s, tuning.drift)
@@ -92,10 +95,11 @@
         self._vouched_at = float("-inf")
         # Whether a leader key was read in this life: before, an earlier life of ours may have led unknown to us.
         self.vouches = False
-        # When the store, or a controller that is served or leads, last answered us; whether a worker since showed a
-        # token above ours.
-        # Before the first contact nothing is kept: a leader of before may have confirmed what we never heard of.
+        # As of when a leader last told us how it stands, and the cancelled jobs that it had yet to see gone; whether
+        # a worker since showed a token above ours. Before the first contact nothing is kept: a leader may have
+        # confirmed what we never heard of.
         self._contact_at = float("-inf")
+        self.cancelled: frozenset[str] = frozenset()
         self.outranked = False
         # Leases kept by who cannot hear of cancellations must end within the time that a cancellation has.
         self.hold_s = max(0.0, min(platform.lease_s * tuning.hold,
@@ -130,13 +134,22 @@
         """
         return self.reigns and self.clock() - self.assured_at <= self.hold_s
 
+    @property
+    def may_start(self) -> bool:
+        """Whether committed starts may be told: it is certain that nobody led after us up to a moment ago.
+
+        Guards against a task that a leader without the store starts after the next one has confirmed its
+        cancellation.
+        """
+        return self.reigns and self.clock() - self.assured_at <= self.ttl_s * 0.4
+
     @property
     def assured_at(self) -> float:
         """Return the last moment at which it was certain that no controller had confirmed what we cannot know.
 
-        Of a leader: that nobody led after it. Otherwise: that the store or who is served or leads was in reach. What
-        is kept beyond it is bounded by `hold_s`, and counted from it by whoever keeps it next, so that the bounds of
-        two controllers in turn do not add up.
+        Of a leader: that nobody led after it. Otherwise: that a leader was, when it told us. What is kept beyond it
+        is bounded by `hold_s`, and counted from it by whoever keeps it next, so that the bounds of two controllers in
+        turn do not add up.
         """
         if self.reigns:
             return max(self.lease.certain_until(self.clock()), self._vouched_at)
@@ -153,6 +166,14 @@
             return None
         return self.leader_token
 
+    def may_tend(self, jobs: set[str]) -> bool:
+        """Whether the lease of a worker with tasks of these jobs may be kept.
+
+        Guards against a machine that did not hear the stop of a cancelled task in time, and would have its lease kept
+        once more: the bound counts from our last contact, its cancellation may be older.
+        """
+        return jobs.isdisjoint(self.cancelled)
+
     def outrank(self, token: int) -> None:
         """A worker has seen this token, so somebody else leads: its leases are not ours to keep."""
         if token > self.leader_token:
@@ -233,8 +254,7 @@
         """
         outlook = await self.ask_peers()
         self.learn(outlook.leader, outlook.token)
-        if outlook.contact_at > self._contact_at:
-            self._in_contact(outlook.contact_at)
+        self._in_contact(outlook)
         if outlook.in_reach:
             if self.role is Role.TENDING:
                 self.change(Role.FOLLOWER)
@@ -244,14 +264,14 @@
         elif self.role is Role.TENDING and self.tended_token is None:
             self.change(Role.FOLLOWER)
 
-    def _in_contact(self, at: float) -> None:
-        """The store or a controller that is served or leads has answered, as of that moment."""
-        self._contact_at, self.outranked = at, False
+    def _in_contact(self, outlook: Outlook) -> None:
+        """A leader has told how it stands."""
+        if outlook.contact_at > self._contact_at:
+            self._contact_at, self.cancelled, self.outranked = outlook.contact_at, outlook.cancelled, False
 
     async def _follow(self) -> None:
         # A read that hangs must not outlast the workers' leases.
         page = await self.store.page(LEADER, None, 1, self.ttl_s)
-        self._in_contact(self.clock())
         if self.role is Role.TENDING:
             self.change(Role.FOLLOWER)
         self._revision = page.revision
@@ -263,6 +283,7 @@
                 log.info("ending the lease of an earlier life")
                 await self.store.end(item.lease)
                 return
+            self._in_contact(await self.ask_leader())
             answer = await self.store.watch(LEADER, self._revision, self.ttl_s)
             if answer is None or not answer.events:
                 return
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -355,8 +355,11 @@
 
     # -- what workers are told ----------------------------------------------------------------------------
 
-    def orders(self, machine: Machine, report: Report) -> list[Signal]:
-        """Return the commands that answer a machine's newest report; starts are noted as offered."""
+    def orders(self, machine: Machine, report: Report, starts: bool = True) -> list[Signal]:
+        """Return the commands that answer a machine's newest report; starts are noted as offered.
+
+        Without `starts` only what ends work: for a leader that cannot tell whether another has led since.
+        """
         if machine.report is not report:
             return []
         machine.answered = (report.session, report.seq)
@@ -372,7 +375,7 @@
             elif not expected:
                 signals.append(Signal(wire_workers.STOP, task.task, task.attempt, 0.0))
         signals.extend(self.stops(machine))
-        if machine.state is not MachineState.UP:
+        if machine.state is not MachineState.UP or not starts:
             return signals
         for key, place in machine.tasks.items():
             job = self.jobs.get(key[0])
--- a/driftcleat/peers/client.py
+++ b/driftcleat/peers/client.py
@@ -29,18 +29,22 @@
         if address is None:
             raise PeerError(f"unknown controller {label}")
         try:
-            async with self.session.post(f"http://{address}{PATH}", data=wire.encode(message),
-                                         timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
-                data = await response.read()
-                if response.status != 200:
-                    raise PeerError(f"status {response.status}")
+            status, data = await self._exchange(address, wire.encode(message), timeout_s)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerError(f"no answer: {error!r}") from None
+        if status != 200:
+            raise PeerError(f"status {status}")
         try:
             return wire.decode(data, messages.PeerMessage)  # type: ignore[arg-type]
         except wire.WireError as error:
             raise PeerError(str(error)) from None
 
+    async def _exchange(self, address: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
+        """Send one request; return status and body."""
+        async with self.session.post(f"http://{address}{PATH}", data=body,
+                                     timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+            return response.status, await response.read()
+
     async def ping(self, labels: list[str], timeout_s: float) -> list[messages.Pong]:
         """Ask controllers who leads; those that answer are returned."""
         answers = await asyncio.gather(*(self.send(label, messages.Ping(self.label), timeout_s) for label in labels),
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -106,12 +106,9 @@
                     raise Refused("too many requests wait for the store")
                 await asyncio.sleep(delay)
         self.requests.take(1)
-        timeout = aiohttp.ClientTimeout(total=timeout_s or self.limits.timeout_s)
         try:
-            session = self.lease_session if urgent else self.session
-            async with session.request(method, self.base + path, data=body, params=params,
-                                       timeout=timeout) as response:
-                status, data = response.status, await response.read()
+            status, data = await self._exchange(method, path, body, params,
+                                                timeout_s or self.limits.timeout_s, urgent)
         except aiohttp.ClientConnectorError as error:
             self.refused_at = self.clock()
             raise Refused(f"no connection: {error}") from None
@@ -132,6 +129,14 @@
             raise self._bad(f"{method} {path}: {data[:200]!r}")
         return status, data
 
+    async def _exchange(self, method: str, path: str, body: bytes | None, params: dict[str, str] | None,
+                        timeout_s: float, urgent: bool) -> tuple[int, bytes]:
+        """Send one request; return status and body."""
+        session = self.lease_session if urgent else self.session
+        async with session.request(method, self.base + path, data=body, params=params,
+                                   timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+            return response.status, await response.read()
+
     def _bad(self, why: str) -> Malformed:
         self.malformed += 1
         log.warning("state service: %s", why)
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -998,17 +998,20 @@
         zone = next((place.zone for place in self.cluster.waiting.get(name, {}).values()), "")
         return self.cluster.machines.get(name) or self.cluster.adopt(name, "", zone, False, "", now)
 
+    def cancelled_there(self, older_than_s: float = 0.0) -> dict[str, set[str]]:
+        """Return the jobs cancelled longer ago than this whose tasks may still be on machines, and which machines."""
+        wall = self.wall()
+        found = ((job, {place.machine for index, place in job.places.items()
+                        if self.cluster.may_be_there((job.id, index), place)})
+                 for job in self.cluster.jobs.values()
+                 if job.state is JobState.CANCELLED and wall - job.cancelled_at >= older_than_s)
+        return {job.id: machines for job, machines in found if machines}
+
     def fenced(self) -> set[str]:
         """Return machines that still may hold a cancelled task and must be gone before its time is up."""
-        names: set[str] = set()
-        wall = self.wall()
         # Another controller's clock noted the cancellation: both may be off.
-        wait = max(0.0, self.platform.cancel_s * self.tuning.fence - 2 * self.platform.clock_off_s)
-        for job in self.cluster.jobs.values():
-            if job.state is JobState.CANCELLED and wall - job.cancelled_at > wait:
-                names.update(place.machine for index, place in job.places.items()
-                             if self.cluster.may_be_there((job.id, index), place))
-        return names
+        wait_s = max(0.0, self.platform.cancel_s * self.tuning.fence - 2 * self.platform.clock_off_s)
+        return set().union(*self.cancelled_there(wait_s).values())
 
 
 def _fetch_s(spec: Submission, kind: MachineType) -> float:
--- a/driftcleat/wire/peers.py
+++ b/driftcleat/wire/peers.py
@@ -9,12 +9,19 @@
     sender: str
 
 
+class Standing(msgspec.Struct, frozen=True, array_like=True):
+    """What a leader tells of its term: how long ago it was certain that nobody led after it, and the cancelled jobs
+    of which tasks may still be on machines (None if they are too many to name)."""
+
+    assured_age_s: float
+    cancelled: list[str] | None
+
+
 class View(msgspec.Struct, frozen=True, array_like=True, tag="view"):
     """How a controller sees the world; ages in seconds, negative when it never happened.
 
     `vouches` says that the speaker has read a leader key since it was started: only then does it know that it has
-    led under no higher token than `token`, in an earlier life either. `assured_age_s` is, of a leader, the age of the
-    last moment at which it knew that nobody led after it.
+    led under no higher token than `token`, in an earlier life either.
     """
 
     sender: str
@@ -24,7 +31,7 @@
     served_age_s: float
     refused_age_s: float
     vouches: bool = False
-    assured_age_s: float = -1.0
+    standing: Standing | None = None
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -40,6 +47,7 @@
     leads: bool
     leader: str | None
     token: int
+    standing: Standing | None = None
 
 
 class Forward(msgspec.Struct, frozen=True, array_like=True, tag="forward"):
--- a/driftcleat/workers/commands.py
+++ b/driftcleat/workers/commands.py
@@ -46,11 +46,15 @@
 
     async def _post(self, addr: str, body: bytes, timeout_s: float) -> Report | None:
         try:
-            async with self.session.post(f"http://{addr}/commands", data=body,
-                                         timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
-                data = await response.read()
-                if response.status == 409:
-                    return wire.decode(data, Report)
+            status, data = await self._exchange(addr, body, timeout_s)
+            if status == 409:
+                return wire.decode(data, Report)
         except (aiohttp.ClientError, TimeoutError, OSError, wire.WireError) as error:
             log.debug("worker %s: %r", addr, error)
         return None
+
+    async def _exchange(self, addr: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
+        """Send one request; return status and body."""
+        async with self.session.post(f"http://{addr}/commands", data=body,
+                                     timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+            return response.status, await response.read()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -73,61 +73,74 @@
             self.leases[lease] = self.now() + self.ttl[lease]
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
-        body = await request.read()
-        sender = request.headers.get("X-Sender", "")
-        if "all" in self.down_for or sender in self.down_for:
-            return web.json_response({"error": "trouble"}, status=503)
+        status, value = await self.answer(request.headers.get("X-Sender", ""), request.method, request.path,
+                                          dict(request.query), await request.read())
+        return web.json_response(value, status=status)
+
+    def refuses(self, sender: str) -> bool:
+        """Whether this controller is refused just now."""
+        return "all" in self.down_for or sender in self.down_for
+
+    async def answer(self, sender: str, method: str, path: str, query: dict[str, str],
+                     body: bytes) -> tuple[int, Any]:
+        """Answer one request; return status and JSON value."""
+        if self.refuses(sender):
+            return 503, {"error": "trouble"}
         if "all" not in self.down_for:
             self.expire()
-        path, store = request.path, self.store
+        store = self.store
         if path == "/txn":
-            raw = json.loads(body)
-            self.txns += 1
-            for change in raw["then"]:
-                if change.get("berth") is not None and change["berth"] not in self.leases:
-                    return web.json_response({"error": "no such lease"}, status=400)
-            revision = store.txn(body)
-            if revision is None:
-                return web.json_response({"failed": ["?"], "logline": store.revision}, status=409)
-            for change in raw["then"]:
-                if change.get("berth") is not None:
-                    self.attached[change["put"]] = change["berth"]
-            return web.json_response({"logline": revision})
+            return self.txn(body)
         if path == "/leases":
             self.number += 1
             self.ttl[self.number] = json.loads(body)["ttlMs"] / 1000
             self.leases[self.number] = self.now() + self.ttl[self.number]
-            return web.json_response({"berth": self.number})
+            return 200, {"berth": self.number}
         if path.startswith("/leases/"):
             lease = int(path.split("/")[2])
             if lease not in self.leases:
-                return web.json_response({}, status=404)
-            if request.method == "DELETE":
+                return 404, {}
+            if method == "DELETE":
                 self.end(lease)
             else:
                 self.leases[lease] = self.now() + self.ttl[lease]
-            return web.json_response({})
+            return 200, {}
         if path == "/watch":
-            revision, end = int(request.query["from"]), self.now() + int(request.query["waitMs"]) / 1000
+            revision, end = int(query["from"]), self.now() + int(query["waitMs"]) / 1000
             while self.now() < end:
                 if "all" not in self.down_for:
                     self.expire()
-                if store.revision > revision and not store.items(request.query["under"]):
-                    return web.json_response({"logline": store.revision,
-                                              "log": [{"remove": request.query["under"], "entry": store.revision}]})
+                if not self.refuses(sender) and store.revision > revision and not store.items(query["under"]):
+                    return 200, {"logline": store.revision,
+                                 "log": [{"remove": query["under"], "entry": store.revision}]}
                 await asyncio.sleep(0.02)
-            return web.json_response({"logline": store.revision, "log": []})
+            return 200, {"logline": store.revision, "log": []}
         if path == "/store":
-            items = [item for item in store.items(request.query["under"]) if item.key > request.query.get("from", "")]
-            page = items[:int(request.query["page"])]
+            items = [item for item in store.items(query["under"]) if item.key > query.get("from", "")]
+            page = items[:int(query["page"])]
             rows = [{"key": item.key, "v": json.loads(bytes(item.value)), "entry": item.version,
                      "berth": self.attached.get(item.key)} for item in page]
-            return web.json_response({"rows": rows, "truncated": len(items) > len(page), "logline": store.revision})
+            return 200, {"rows": rows, "truncated": len(items) > len(page), "logline": store.revision}
         key = path[len("/store/"):]
         if key not in store.data:
-            return web.json_response({"logline": store.revision}, status=404)
+            return 404, {"logline": store.revision}
         value, version = store.data[key]
-        return web.json_response({"key": key, "v": value, "entry": version, "berth": self.attached.get(key)})
+        return 200, {"key": key, "v": value, "entry": version, "berth": self.attached.get(key)}
+
+    def txn(self, body: bytes) -> tuple[int, Any]:
+        """Carry out a transaction."""
+        raw = json.loads(body)
+        self.txns += 1
+        for change in raw["then"]:
+            if change.get("berth") is not None and change["berth"] not in self.leases:
+                return 400, {"error": "no such lease"}
+        revision = self.store.txn(body)
+        if revision is None:
+            return 409, {"failed": ["?"], "logline": self.store.revision}
+        for change in raw["then"]:
+            if change.get("berth") is not None:
+                self.attached[change["put"]] = change["berth"]
+        return 200, {"logline": revision}
 
 
 class LiveWorld(World):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -103,7 +103,7 @@
     assert (await site.call(leader, "POST", "/agent/beat", b"{}"))[0] == 400
     controller = site.controllers[leader]
     assert controller.metrics.bad_reports == 1 and not controller.term.cluster.machines
-    assert (await controller._peer(b'["shutdown"]')).status == 400 and controller.metrics.bad_peer_messages == 1
+    assert (await controller.answer_peer(b'["shutdown"]')).status == 400 and controller.metrics.bad_peer_messages == 1
 
 
 @live
@@ -212,7 +212,7 @@
     answer = await controller._handle_back("GET", "/status", b"")
     status = wire.decode(answer.body, dict)
     assert status["role"] == "leading" and status["leader"] == leader and status["batch"]["count"] >= 0
-    view = wire.decode((await controller._peer(wire.encode(peers.Ask("x")))).body, peers.View)
+    view = wire.decode((await controller.answer_peer(wire.encode(peers.Ask("x")))).body, peers.View)
     assert view.leader == leader and 0 <= view.served_age_s < 5
 
 
