--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -19,6 +19,7 @@
 from driftcleat.leadership import Role
 from driftcleat.net import Door, SocketBudget
 from driftcleat.peers import PeerClient
+from driftcleat.placement.rooms import allowed, fits
 from driftcleat.settings import Tuning
 from driftcleat.settings.platform import Platform, parse_platform
 from driftcleat.store.client import StoreClient
@@ -533,6 +534,29 @@
             self.broken = error
             raise
 
+    def _watch_waiting(self, passed_over: dict[str, float]) -> None:
+        """No job waits for 90 s while a machine that fits one of its tasks has room and its team is under its limit."""
+        live = self.on_machines()
+        for job_id, state in self.told.items():
+            spec = self.specs[job_id]
+            team = self.platform.teams[spec.team]
+            used = sum(task.job.gpus for _, task in live if task.job.team == spec.team)
+            if (state in ("done", "cancelled") or job_id in self.cancelled
+                    or any(task.job.id == job_id for _, task in live)
+                    or (spec.kind is Kind.GANG and spec.tasks > 1) or used + spec.gpus > team.gpus_max + 1e-6
+                    or not any(self._has_room(worker, spec) for worker in self.alive())):
+                passed_over.pop(job_id, None)
+            elif self.time() - passed_over.setdefault(job_id, self.time()) > 90.0:
+                raise RuleBroken(f"left waiting: {job_id} although there is room")
+
+    def _has_room(self, worker: PlainWorker, spec: Submission) -> bool:
+        """Whether a machine fits a task and has room for it."""
+        tasks = [task.job for task in worker.tasks.values() if task.state != "exited"]
+        return (allowed(spec, worker.kind.name, worker.zone, worker.spot)
+                and fits(spec, worker.kind.cpus - sum(job.cpus for job in tasks),
+                         worker.kind.gpus - sum(job.gpus for job in tasks),
+                         worker.kind.memory_gb - sum(job.memory_gb for job in tasks)))
+
     async def settle_down(self) -> None:
         """All troubles end: every question is answered within 75 s, and work that has room begins within 90 s."""
         self.heal()
@@ -544,8 +568,10 @@
             open_jobs -= {job_id for job_id in sorted(open_jobs) if await self.poll(job_id) == 200}
             await self.rest(1.0)
         end = calm_at + 600.0
+        passed_over: dict[str, float] = {}
         while self.time() < end:
             await self.rest(5.0)
+            self._watch_waiting(passed_over)
             for job_id, state in sorted(self.told.items()):
                 if state not in ("done", "cancelled"):
                     await self.poll(job_id)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -187,10 +187,14 @@
     """Guards against machines returned for tasks long gone, while the batch that would say so waits for the store."""
     ids = await services(sim)
     machines = {worker.name for worker in sim.alive()}
+    lapsed = next(worker for worker, task in sim.on_machines() if task.job.id == ids[0])
     await sim.call_off(ids[0])
+    # One machine does not even report the exits: it is back with a new session and no tasks.
+    lapsed.restart()
     sim.state.down_for.add("all")
     await gone_in_time(sim, ids[0])
-    assert {worker.name for worker in sim.alive()} == machines and on_machines(sim, ids[1]) == 2
+    assert {worker.name for worker in sim.alive()} == machines
+    await sim.until(lambda: on_machines(sim, ids[1]) == 2)
     await sim.settle_down()
 
 
@@ -250,7 +254,7 @@
         if task.job.id == ids[0]:
             worker.deaf = True
     await sim.call_off(ids[0])
-    await sim.rest(8.0)
+    await sim.rest(6.0)
     sim.state.down_for.add("all")
     sim.end(leader)
     for worker in sim.alive():
@@ -312,6 +316,8 @@
 
 @played(3)
 async def test_ten_leaders_in_two_minutes_and_an_outage_between(sim: Simulation) -> None:
+    """Transactions of each may be carried out under the next ones; no batch of a term before may count."""
+    sim.late_writes = 0.3
     for number in range(1, 7):
         sim.hand_in(raw_job(number, hands=2, rig=("array", "group")[number % 2], voyageS=60.0,
                             crew=("red", "blue")[number % 2], cores=1.0))
@@ -356,20 +362,20 @@
     """Some are cut off, some do not hear the new leader, for less than a lease: their tasks are where they were."""
     await services(sim)
     before = {(worker.name, task.job.id, task.index, task.attempt) for worker, task in sim.on_machines()}
-    first, second = {worker.name for worker, _ in sim.on_machines()} | {""}, sim.alive()
-    second[0].cut = True
-    for worker in second[1:]:
+    holders = sorted({worker.name for worker, _ in sim.on_machines()})
+    unreached, deaf = sim.workers[holders[0]], [sim.workers[name] for name in holders[1:]]
+    unreached.cut = True
+    for worker in deaf:
         worker.deaf = True
     old = sim.lead()
     sim.end(str(old))
     await next_leader(sim, old)
     await sim.rest(4.0)
-    second[0].cut = False
-    for worker in second:
+    unreached.cut = False
+    for worker in deaf:
         worker.deaf = False
     await sim.rest(6.0)
     assert before == {(worker.name, task.job.id, task.index, task.attempt) for worker, task in sim.on_machines()}
-    assert first
     await sim.settle_down()
 
 
@@ -429,23 +435,25 @@
 @played()
 async def test_an_array_bound_to_one_zone_loses_machines(sim: Simulation) -> None:
     """Where some of its tasks may still be, the others must go: also while a machine cannot be asked."""
-    sim.hand_in(raw_job(1, hands=4, voyageS=60.0, cores=8.0, accelerators=1.0, together=True))
+    sim.hand_in(raw_job(1, hands=4, voyageS=200.0, cores=16.0, accelerators=1.0, together=True))
     await sim.until(lambda: len(sim.on_machines()) == 4)
     await sim.rest(3.0)
-    zone = next(worker.zone for worker, _ in sim.on_machines())
     holders = sorted({worker.name for worker, _ in sim.on_machines()})
-    sim.workers[holders[0]].gone = True
-    sim.workers[holders[0]].tasks.clear()
-    if len(holders) > 1:
-        sim.workers[holders[1]].cut = True
-    # No room is left in that zone: the cloud has no more, and one machine stands free in the other.
+    zone = sim.workers[holders[0]].zone
+    # No room is left in that zone: the cloud has no more, and a machine comes up in the other.
     sim.capacity = 0
-    other = next(kind for kind in ("north", "south") if kind != zone)
-    sim.boot(RentalRecord("big", other, False, 1, 0.0))
+    for worker in sim.alive():
+        if worker.name not in holders[1:]:
+            worker.gone = True
+            worker.tasks.clear()
+    assert sim.on_machines()
     old = sim.lead()
     sim.end(str(old))
     await next_leader(sim, old)
+    await sim.rest(25.0)
+    sim.boot(RentalRecord("big", "south" if zone == "north" else "north", False, 1, 0.0))
     await sim.rest(20.0)
+    assert len(sim.on_machines()) < 4, "what was lost waits for its zone"
     sim.capacity = 14
     await sim.settle_down()
     assert sim.told["req-000001"] == "done"
@@ -464,7 +472,7 @@
             worker.cut = True
     old = sim.lead()
     sim.end(str(old))
-    sim.hand_in(raw_job(3, hands=4, voyageS=10.0, accelerators=1.0, cores=1.0))
+    sim.hand_in(raw_job(3, hands=8, voyageS=10.0, accelerators=1.0, cores=1.0))
     await next_leader(sim, old)
     sim.call_off("req-000002")
     await sim.rest(20.0)
@@ -490,7 +498,13 @@
             if old is not None:
                 sim.end(old)
                 sim.start(old)
-    await sim.rest(15.0)
+    for _ in range(3):
+        # What a leader reads must be what the one before it had committed.
+        await sim.rest(13.0)
+        old = sim.lead()
+        sim.end(str(old))
+        await next_leader(sim, old)
+        sim.start(str(old))
     await sim.settle_down()
 
 
--- a/tests/test_meetings_walk.py
+++ b/tests/test_meetings_walk.py
@@ -8,8 +8,6 @@
 from .samples import raw_job
 from .simulation import LABELS, Simulation
 
-SITE_LEASE_S = 10.0
-
 
 def refuse_one(sim: Simulation, rng: random.Random) -> None:
     sim.state.down_for.add(sim.lead() or rng.choice(LABELS))
@@ -72,6 +70,8 @@
 def on_some(name: str) -> Callable[[Simulation, random.Random], None]:
     """Some machines fall into a state, or leave it."""
     def happen(sim: Simulation, rng: random.Random) -> None:
+        if name == "hung" and not (sim.cloud_up and sim.processes):
+            return
         for worker in rng.sample(sim.alive(), min(len(sim.alive()), rng.choice([1, 1, 3]))):
             setattr(worker, name, not getattr(worker, name))
     happen.__name__ = name
