--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -68,6 +68,8 @@
             for index, place in job.places.items():
                 usage.add(job.spec, 1)
                 self.waiting.setdefault(place.machine, {})[(job.id, index)] = place
+        # Attempts that the batch under way takes off their machines.
+        self.leaving: set[AttemptKey] = set()
         # Jobs whose cancellation may have been committed: nobody can say before the store answers again.
         self.doubted_cancels: set[str] = set()
         self.started_at = now
@@ -382,6 +384,10 @@
             attempt = (key[0], key[1], place.attempt)
             if job is None or self._cancelled(job) or place.stop is not None:
                 continue
+            if attempt in self.leaving:
+                # Guards against a task that ran twice, seen in the random walk: its machine was back at once, the
+                # batch that gave its place up waited for the store, and the next report was told to start it again.
+                continue
             if attempt in machine.reported or (job.is_gang and attempt in machine.seen):
                 continue
             if machine.unheeded > 1:
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -188,6 +188,8 @@
         while self.notes and batch.room_extra():
             batch.put(*self.notes.popitem())
         self.in_flight = {place.machine for _, _, _, place in batch.moves if place is not None}
+        self.cluster.leaving = {(job_id, index, old.attempt) for job_id, index, old, new in batch.moves
+                                if old is not None and new is None}
         return batch
 
     def commit(self, batch: Batch, revision: int, garbage: list[str]) -> None:
@@ -204,6 +206,7 @@
                 self.urgent.update(place.machine for place in job.places.values())
         self.cluster.commit(batch, revision, now)
         self.cluster.doubted_cancels.clear()
+        self.cluster.leaving.clear()
         if batch.created:
             # A job is placed in the batch after its own: nothing else may come to ask for that round.
             self.note_room()
@@ -1081,6 +1084,11 @@
                and any(allowed(spec, kind.name, zone, False) for zone in kind.zones)
                for kind in kinds):
         return "cores: a task fits no allowed machine type"
+    if spec.kind is Kind.GANG and spec.spread:
+        # Guards against a gang that waits for ever: by its own wishes its tasks can never be there all at once.
+        zones = {zone for kind in kinds for zone in kind.zones if allowed(spec, kind.name, zone, False)}
+        if spec.tasks > spread_limit(spec) * (1 if spec.one_zone else len(zones)):
+            return "spread: the tasks may not all be in the zones that are allowed"
     tasks = 1 if spec.kind is Kind.ARRAY else spec.tasks
     for name, need, limit in (("cores", spec.cpus, team.cpus_max), ("accelerators", spec.gpus, team.gpus_max)):
         if limit > 0 and need * tasks > limit + 1e-6:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -535,7 +535,7 @@
             raise
 
     def _watch_waiting(self, passed_over: dict[str, float]) -> None:
-        """No job waits for 90 s while a machine that fits one of its tasks has room and its team is under its limit."""
+        """No job waits for 90 s while a machine that fits has room and its team is under its limit."""
         live = self.on_machines()
         for job_id, state in self.told.items():
             spec = self.specs[job_id]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -88,6 +88,29 @@
     assert term.cluster.jobs["req-000001"].places
 
 
+def test_a_place_that_is_being_given_up_is_not_offered_again() -> None:
+    """A machine is back at once and reports nothing; the batch that takes its task off waits for the store, and a
+    further report arrives. A start told now would meet the one elsewhere that the next batch decides."""
+    now = [0.0]
+    term = make_term(now)
+    term.cluster.lease_s = SITE.lease_s
+    placed(term, hands=1)
+    machine = term.cluster.machines["vm-1"]
+    first = report(2)
+    term.cluster.observe(first, 1.0)
+    assert [signal.op for signal in term.cluster.orders(machine, first)] == ["start"]
+    back = report(1, session=2)
+    term.cluster.observe(back, 2.0)
+    batch = term.build()
+    assert [(old is not None, new) for _, _, old, new in batch.moves] == [(True, None)], "it is proven off"
+    term.cluster.orders(machine, back)
+    later = report(2, session=2)
+    term.cluster.observe(later, 3.0)
+    assert term.cluster.orders(machine, later) == []
+    term.commit(batch, 99, [])
+    assert not term.cluster.jobs["req-000001"].places and not term.cluster.leaving
+
+
 def test_an_exit_is_forgotten_only_once_it_is_committed() -> None:
     now = [0.0]
     term = make_term(now)
@@ -298,6 +321,12 @@
     assert "fits no" in (never_fits(job(1, harbor="moon"), TYPES, SITE) or "")
     assert "limit" in (never_fits(job(1, rig="group", hands=9), TYPES, SITE) or "")
     assert never_fits(job(1, rig="array", hands=9), TYPES, SITE) is None
+    # A gang whose own wishes contradict one another would wait for ever; an array's tasks may come one by one.
+    for wishes in ({"together": True}, {"harbor": "north"}):
+        assert "spread" in (never_fits(job(1, rig="group", hands=2, spread=True, **wishes), TYPES, SITE) or "")
+        assert never_fits(job(1, rig="group", hands=1, spread=True, **wishes), TYPES, SITE) is None
+        assert never_fits(job(1, rig="array", hands=2, spread=True, **wishes), TYPES, SITE) is None
+    assert never_fits(job(1, rig="group", hands=2, spread=True), TYPES, SITE) is None
 
 
 def test_a_gang_is_not_placed_while_a_task_of_an_older_attempt_may_be_there() -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -536,3 +536,43 @@
     assert sim.time() - begun < 240.0
     sim.capacity = 14
     await sim.settle_down()
+
+
+# -- bad input -----------------------------------------------------------------------------------------------
+
+
+@played()
+async def test_bad_input_is_answered_at_once_during_troubles(sim: Simulation) -> None:
+    """What can be told without the state service is told; else 503 with when to come back, and nothing is held."""
+    ids = await services(sim, 1)
+    lacking = {key: value for key, value in raw_job(7).items() if key != "crew"}
+    calls = [("POST", "/v1/jobs", b"{", {400}), ("POST", "/v1/jobs", {"nameId": "x"}, {400}),
+             ("POST", "/v1/jobs", lacking, {400, 503}), ("POST", "/v1/jobs", raw_job(8, cores=99.0), {422, 503}),
+             ("POST", "/v1/jobs", raw_job(9, rig="group", spread=True, together=True), {422, 503}),
+             ("GET", "/v1/jobs", None, {405}), ("GET", "/v1/jobs/nonsense", None, {404}),
+             ("GET", "/v1/jobs/req-000099", None, {404, 503}),
+             ("POST", "/v1/jobs/req-000099/cancel", None, {404, 503}),
+             ("GET", "/nowhere", None, {404}), ("POST", "/agent/beat", b"{}", {400, 421})]
+
+    async def ask_all(certain: bool) -> None:
+        for label in LABELS:
+            for method, path, body, expected in calls:
+                asked_at = sim.time()
+                status, _ = await sim.ask(method, path, body, label)
+                assert status in (expected - {503} if certain and path != "/agent/beat" else expected), (label, path)
+                assert sim.time() - asked_at < sim.platform.report_s, (label, path)
+    await ask_all(certain=True)
+    leader = sim.lead()
+    assert leader is not None
+    sim.state.down_for.add(leader)
+    await sim.rest(0.5)
+    await ask_all(certain=False)
+    sim.state.down_for.add("all")
+    await sim.rest(3.0)
+    await ask_all(certain=False)
+    sim.state.heal()
+    sim.slow_s = 0.5
+    await sim.rest(5.0)
+    await ask_all(certain=False)
+    assert set(sim.told) == set(ids)
+    await sim.settle_down()
