--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -99,6 +99,11 @@
     first = report(2)
     term.cluster.observe(first, 1.0)
     assert [signal.op for signal in term.cluster.orders(machine, first)] == ["start"]
+    attempt = term.cluster.jobs["req-000001"].places[0].attempt
+    running = report(3, TaskReport("req-000001/0", attempt, "running"))
+    term.cluster.observe(running, 1.5)
+    term.cluster.orders(machine, running)
+    commit(term)
     back = report(1, session=2)
     term.cluster.observe(back, 2.0)
     batch = term.build()
