--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -11,13 +11,23 @@
 from typing import Any, Protocol
 
 from driftcleat import wire
+from driftcleat.model import JobState
 from driftcleat.peers.client import PeerClient, PeerError
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import StoreClient, StoreError
+from driftcleat.store.client import Refused, StoreClient, StoreError
 from driftcleat.store.records import ENDED, JOBS, EndedRecord, load_head
 from driftcleat.term import Term, Ticket, never_fits
 from driftcleat.wire import peers as peer_messages
-from driftcleat.wire.users import BadField, JobView, is_job_id, parse_id, parse_object, parse_submission
+from driftcleat.wire.users import (
+    BadField,
+    JobView,
+    Kind,
+    Submission,
+    is_job_id,
+    parse_id,
+    parse_object,
+    parse_submission,
+)
 
 from .http import Answer
 
@@ -25,6 +35,8 @@
 
 FINAL = ("done", "cancelled")
 KEPT_FINALS = 5000
+# Records that are read at the most to say how a job stands that waits for others.
+MOST_READS = 24
 
 
 class Leadership(Protocol):
@@ -118,13 +130,37 @@
         why = never_fits(spec, term.cluster.types, self.platform)
         if why is not None:
             return Answer.error(422, why)
+        if not term.layout.fits(spec):
+            field = "tows" if spec.needs else "builds"
+            return Answer.error(400, f"{field}: more is named than can be stored", field)
+        ended = await self._needed(term, spec)
+        if isinstance(ended, Answer):
+            return ended
         if term.queue_full:
             return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
-        view = await self._decide(term, Ticket(lambda view: None, spec, job_id), submission=True)
+        view = await self._decide(term, Ticket(lambda view: None, spec, job_id, ended), submission=True)
         if view is None:
             return self.unavailable("not decided")
         return Answer(201, wire.encode(JobView(view.id, view.state)))
 
+    async def _needed(self, term: Term, spec: Submission) -> dict[str, str] | Answer:
+        """Return the final states of the jobs that a submission needs and that are over, or why it is not taken."""
+        ended: dict[str, str] = {}
+        for need in spec.needs or ():
+            job = term.cluster.jobs.get(need)
+            if job is not None:
+                if job.spec.kind is Kind.SERVICE:
+                    return Answer.error(422, f"tows: {need} is a service", "tows")
+                continue
+            view = await self._known(term, need)
+            if isinstance(view, Answer):
+                return view
+            if view is None:
+                return Answer.error(422, f"tows: {need} was never accepted", "tows")
+            if view.state in FINAL:
+                ended[need] = view.state
+        return ended
+
     async def _known(self, term: Term, job_id: str) -> JobView | Answer | None:
         """Return a job's state from memory or the store, None if nobody knows it, or why that cannot be said."""
         view = term.lookup(job_id)
@@ -177,7 +213,7 @@
                 item = await self.store.get(JOBS + job_id, self.most_wait_s)
                 if item is not None:
                     job = load_head(item)
-                    state = "cancelled" if job.state.value == "cancelled" else (
+                    state = "cancelled" if job.state.value == "cancelled" or await self._doomed(job.spec) else (
                         "running" if job.places else "pending")
                     return self._found(JobView(job_id, state, job.done, len(job.places)))
             view = await self._final(job_id)
@@ -191,6 +227,32 @@
             return self.unavailable("leadership changed")
         return Answer.error(404, "no such job")
 
+    async def _doomed(self, spec: Submission) -> bool:
+        """Whether a job that the records call active stands below a cancelled one: it is cancelled then.
+
+        `StoreError` if that takes more reads than a user waits for.
+        """
+        seen: set[str] = set()
+        asked = list(spec.needs or ())
+        while asked:
+            need = asked.pop()
+            if need in seen:
+                continue
+            seen.add(need)
+            if len(seen) > MOST_READS:
+                raise Refused("too many records to read")
+            item = await self.store.get(JOBS + need, self.most_wait_s)
+            if item is not None:
+                job = load_head(item)
+                if job.state is JobState.CANCELLED:
+                    return True
+                asked.extend(job.spec.needs or ())
+                continue
+            view = await self._final(need)
+            if view is not None and view.state == JobState.CANCELLED.value:
+                return True
+        return False
+
     def _found(self, view: JobView) -> Answer:
         if view.state in FINAL:
             self.finals[view.id] = view
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -14,21 +14,25 @@
 from driftcleat.fleet.keeper import FleetKeeper
 from driftcleat.leadership import Election, Outlook, Role
 from driftcleat.metrics import Metrics
-from driftcleat.model import Batch, Cluster
+from driftcleat.model import Batch, Cluster, Job
 from driftcleat.net import SocketBudget
 from driftcleat.peers import PeerClient
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import Conflict, Malformed, StoreClient, StoreError, StoreLimits, Unknown
+from driftcleat.store.client import Conflict, Malformed, Rejected, StoreClient, StoreError, StoreLimits, Unknown
 from driftcleat.store.records import (
     BATCH,
     CHUNKS,
+    DATA_VERSION,
+    ENDED,
     JOBS,
     LEADER,
     MACHINES,
     RENTALS,
     TYPES,
+    VERSION,
     BatchMark,
     EncodedBatch,
+    EndedRecord,
     Layout,
     MachineRecord,
     RentalRecord,
@@ -67,7 +71,9 @@
         self.platform, self.tuning, self.clock, self.wall = platform, tuning, clock, wall
         self.rng = rng if rng is not None else random.Random()
         self.metrics = Metrics()
-        self.layout = Layout(platform.value_bytes, platform.txn_ops)
+        self.layout = self._new_layout()
+        # The data versions that the other controllers have said they can write.
+        self.peer_versions: dict[str, int] = {}
         self.term: Term | None = None
         self.mark_version = 0
         self.batch_number = 0
@@ -100,6 +106,11 @@
             for session in sessions:
                 await session.close()
 
+    def _new_layout(self) -> Layout:
+        platform = self.platform
+        return Layout(platform.value_bytes, platform.txn_ops, platform.first_value_bytes, platform.first_txn_ops,
+                      platform.zones)
+
     def connect(self, sockets: SocketBudget) -> list[aiohttp.ClientSession]:
         """Make the clients; return what is to be closed in the end."""
         platform = self.platform
@@ -171,13 +182,20 @@
 
     async def _rebuild(self, token: int) -> None:
         """Read all records; from now on the picture in memory is the truth's copy."""
+        version = await self.store.get(VERSION)
         heads, chunks, rentals, machines, types, mark = await asyncio.gather(
             self.store.read_all(JOBS), self.store.read_all(CHUNKS), self.store.read_all(RENTALS),
             self.store.read_all(MACHINES), self.store.get(TYPES), self.store.get(BATCH))
+        written = wire.decode(bytes(version.value), int) if version is not None else 1
+        if written > DATA_VERSION:
+            raise Malformed(f"the records are of data version {written}, this program knows {DATA_VERSION}")
         jobs, orphans = load_jobs(heads, chunks)
+        ended = await self._ended_needs(jobs)
+        self.layout = self._new_layout()
+        self.layout.switched = written == DATA_VERSION
         known = wire.decode(bytes(types.value), tuple[MachineType, ...]) if types is not None else ()
         cluster = Cluster(token, jobs, {kind.name: kind for kind in known}, self.clock(),
-                          self.platform.lease_s)
+                          self.platform.lease_s, ended)
         term = Term(self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall,
                     brand_new=mark is None)
         for item in machines:
@@ -189,10 +207,30 @@
         self.mark_version = mark.version if mark is not None else 0
         self.batch_number = 0
         self.term = term
+        self._note_version(self.platform.label, DATA_VERSION)
         self.keeper.reset(types is not None)
         log.info("term %d: %d jobs, %d open rentals", token, len(jobs), len(term.open_rentals))
         self.kick()
 
+    async def _ended_needs(self, jobs: dict[str, Job]) -> dict[str, str]:
+        """Return the final states of the jobs that others need and that are over."""
+        over = sorted({need for job in jobs.values() for need in job.spec.needs or () if need not in jobs})
+        items = await asyncio.gather(*(self.store.get(ENDED + need) for need in over))
+        return {need: wire.decode(bytes(item.value), EndedRecord).state
+                for need, item in zip(over, items, strict=True) if item is not None}
+
+    def _note_version(self, label: str, version: int) -> None:
+        """A controller has said which data version it can write; once all write ours, it may begin.
+
+        Nobody goes back after it was upgraded, so answers may be gathered over time.
+        """
+        self.peer_versions[label] = version
+        term = self.term
+        if term is not None and not term.latch_wanted and all(
+                self.peer_versions.get(peer.label, 1) >= DATA_VERSION for peer in self.platform.peers):
+            term.latch_wanted = True
+            self.kick()
+
     def _resigned(self) -> None:
         self.term = None
         self.users.drop_outstanding()
@@ -260,10 +298,15 @@
                 encoded = encode_batch(batch, self.layout, term.cluster.token, self.batch_number, self.mark_version)
                 self.metrics.spent("encode", self.clock() - began)
             except TooLarge as error:
-                log.error("batch dropped: %s", error)
+                await self._drop(term, batch, error)
                 continue
             try:
                 revision = await self._commit(term, batch, encoded)
+            except Rejected as error:
+                # Refused for its size: limits have fallen, which they do only once every controller is new.
+                term.latch_wanted = True
+                await self._drop(term, batch, error)
+                continue
             except Deposed:
                 continue
             self.metrics.batch_ms.record(self.clock() - started)
@@ -292,9 +335,15 @@
                 log.warning("batch refused: %s", conflict)
                 self._end_term(term, "a batch was refused")
                 raise Deposed from None
+            except Rejected:
+                # An earlier try of the same batch may have come before the limits fell.
+                revision = await self._read_back(term, encoded.mark) if perhaps_taken else None
+                if revision is not None:
+                    return revision
+                raise
             except Malformed as error:
-                log.error("batch called malformed: %s", error)
-                self._end_term(term, "a batch was called malformed")
+                log.error("batch answered with nonsense: %s", error)
+                self._end_term(term, "the answer to a batch was malformed")
                 raise Deposed from None
             except StoreError as error:
                 log.debug("batch: %s", error)
@@ -305,6 +354,15 @@
                 self._announce_commit()
             await asyncio.sleep(self.election.ttl_s * 0.06)
 
+    async def _drop(self, term: Term, batch: Batch, error: Exception) -> None:
+        """A batch was certainly not carried out and cannot be as it is: what it took is decided anew, after a pause.
+
+        Guards against a term that ends, or turns in circles, for a record that the store does not take.
+        """
+        log.error("batch not taken: %s", error)
+        term.discard(batch)
+        await asyncio.sleep(self.platform.report_s / 12)
+
     async def _read_back(self, term: Term, mark: BatchMark) -> int | None:
         """Tell whether a batch whose repeat was refused had been carried out before."""
         while self.term is term:
@@ -499,10 +557,12 @@
                 answer = Answer.error(404, "no such path")
             return Answer(200, wire.encode(peer_messages.Forwarded(answer.status, answer.body.decode(),
                                                                    answer.retry_after_s)))
+        if isinstance(message, peer_messages.Ping | peer_messages.Ask):
+            self._note_version(message.sender, message.data_version)
         if isinstance(message, peer_messages.Ping):
             return Answer(200, wire.encode(peer_messages.Pong(
                 self.platform.label, self.election.answers_workers, self.leader, self.election.leader_token,
-                self._standing())))
+                self._standing(), DATA_VERSION)))
         if isinstance(message, peer_messages.Ask):
             return Answer(200, wire.encode(await self._view()))
         return Answer.error(400, "not a question")
@@ -518,7 +578,7 @@
         return peer_messages.View(self.platform.label, self.election.role.value, self.leader,
                                   self.election.leader_token, now - served if served is not None else -1.0,
                                   now - refused if refused is not None else -1.0,
-                                  self.election.vouches, self._standing())
+                                  self.election.vouches, self._standing(), DATA_VERSION)
 
 
 def _contact(asked_at: float, standings: list[peer_messages.Standing | None]) -> tuple[float, frozenset[str]]:
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -79,7 +79,7 @@
                 machine.type = types.get(machine.type.name, machine.type)
             elif machine.report is not None:
                 machine.type = types.get(machine.report.type)
-        if not self.types_stored and len(wire.encode(tuple(types.values()))) < self.platform.value_bytes:
+        if not self.types_stored and len(wire.encode(tuple(types.values()))) <= self.platform.value_bytes:
             self.types_stored = True
             term.notes[TYPES] = tuple(types.values())
         term.note_room()
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -141,7 +141,8 @@
         Guards against a task that a leader without the store starts after the next one has confirmed its
         cancellation.
         """
-        return self.reigns and self.clock() - self.assured_at <= self.ttl_s * 0.4
+        now = self.clock()
+        return self.reigns and (self.lease.valid(now) or now - self._vouched_at <= self.ttl_s * 0.4)
 
     @property
     def assured_at(self) -> float:
--- a/driftcleat/metrics.py
+++ b/driftcleat/metrics.py
@@ -67,7 +67,9 @@
                 row["queued"] += job.queued
                 row["placed"] += len(job.places)
             counters = term.counters
-            out |= {"machines": machines, "classes": classes,
+            out |= {"data_version": 2 if term.layout.switched else 1, "records_to_move": len(term.unmoved),
+                    "jobs_waiting_for_others": len(term.cluster.needs.unmet),
+                    "machines": machines, "classes": classes,
                     "waiting_submissions": len(term.submissions), "waiting_cancellations": len(term.cancels),
                     "open_rentals": len(term.open_rentals), "batches": counters.batches,
                     "rounds": counters.rounds, "rounds_cut": counters.rounds_cut, "placed": counters.placed,
--- a/driftcleat/model/batch.py
+++ b/driftcleat/model/batch.py
@@ -21,17 +21,33 @@
 class Batch:
     """Collects changes until the store's limits are reached. Nothing in it is visible before the commit."""
 
-    def __init__(self, committed: dict[str, Job], chunk_of: Callable[[Job, int], int], ops: int, size: int) -> None:
-        self.committed, self.chunk_of = committed, chunk_of
+    def __init__(self, committed: dict[str, Job], chunk_of: Callable[[Job, int], int], ops: int, size: int,
+                 frozen: Callable[[Job], bool] = lambda job: False) -> None:
+        self.committed, self.chunk_of, self._frozen = committed, chunk_of, frozen
         self.ops_left, self.size_left = ops, size
         self.jobs: dict[str, Job] = {}
         self.created: set[str] = set()
+        # What the jobs created here need and is not done yet.
+        self.unmet: dict[str, set[str]] = {}
         self.heads: set[str] = set()
         self.chunks: dict[str, set[int]] = {}
         self.moves: list[tuple[str, int, Place | None, Place | None]] = []
         self.extra_puts: dict[str, object] = {}
         self.removes: list[str] = []
         self.after: list[Callable[[], None]] = []
+        # What undoes the taking of requests, should this batch not be written.
+        self.undo: list[Callable[[], None]] = []
+        # Jobs that wait for their records to be moved before they can change.
+        self.blocked: set[str] = set()
+        # Jobs whose records this batch moves: it has written their tasks already.
+        self.relaid: set[str] = set()
+
+    def frozen(self, job: Job) -> bool:
+        """Whether a job's records must be moved first; it is noted that something waits for that."""
+        if not self._frozen(job) and job.id not in self.relaid:
+            return False
+        self.blocked.add(job.id)
+        return True
 
     @property
     def empty(self) -> bool:
@@ -42,8 +58,19 @@
         """Return a job as this batch leaves it."""
         return self.jobs.get(job_id) or self.committed.get(job_id)
 
-    def room(self, job: Job, entries: int = 1, chunks: int = 1, ends: bool = False) -> bool:
-        """Tell whether a change of that many tasks of a job still fits; `ends` if it may end the job."""
+    def room_at(self, job: Job, index: int) -> bool:
+        """Tell whether a change of this task still fits, and of the rest of its gang, which may have to follow."""
+        indices = [index, *job.places] if job.is_gang else [index]
+        chunks = {self.chunk_of(job, other) for other in indices} - {0} | self.chunks.get(job.id, set())
+        return self.room(job, 1, len(chunks))
+
+    def room(self, job: Job, entries: int = 1, chunks: int = 0, ends: bool = False) -> bool:
+        """Tell whether a change of that many tasks of a job still fits; `ends` if it may end the job.
+
+        `chunks` counts the records beside the head that it opens or has opened in this batch.
+        """
+        if self.frozen(job):
+            return False
         cost = ops = 0
         if job.id not in self.heads:
             cost, ops = HEAD_BYTES + ENTRY_BYTES * min(len(job.places), 64), _head_ops(job, ends)
@@ -65,10 +92,11 @@
             self.size_left -= HEAD_BYTES + ENTRY_BYTES * min(len(job.places), 64)
         return job
 
-    def create(self, job: Job) -> None:
+    def create(self, job: Job, unmet: set[str] | None = None) -> None:
         """Add a job that was accepted."""
         self.jobs[job.id] = job
         self.created.add(job.id)
+        self.unmet[job.id] = unmet or set()
         self._open(job.id)
 
     def cancel(self, job_id: str, wall: float) -> None:
@@ -98,6 +126,12 @@
                 chunks.add(chunk)
                 self.ops_left -= 1
 
+    def relay(self, job_id: str, split: int, versions: dict[int, int]) -> None:
+        """Write a job's head in another split, whose chunks are written already, or in this batch."""
+        job = self._open(job_id)
+        job.split, job.chunk_versions = split, versions
+        self.relaid.add(job_id)
+
     def stop(self, job_id: str, index: int, grace: float) -> None:
         """Tell a placed task to stop (a task told already keeps its grace)."""
         job = self.get(job_id)
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -15,6 +15,7 @@
 from .batch import Batch
 from .jobs import Job, JobState, Place, TaskState
 from .machines import Machine, MachineState, change_machine
+from .needs import NeedsGraph
 
 log = logging.getLogger(__name__)
 
@@ -43,9 +44,13 @@
     """One term's picture."""
 
     def __init__(self, token: int, jobs: dict[str, Job], types: dict[str, MachineType], now: float,
-                 lease_s: float = 0.0) -> None:
+                 lease_s: float = 0.0, ended: dict[str, str] | None = None) -> None:
+        """`ended` tells the final states of jobs that are over and that others need."""
         self.token, self.lease_s = token, lease_s
         self.jobs = jobs
+        self.needs = NeedsGraph()
+        # When a job that waited for others became ready, on this controller's clock.
+        self.ready_at: dict[str, float] = {}
         self.types = types
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
@@ -68,12 +73,38 @@
             for index, place in job.places.items():
                 usage.add(job.spec, 1)
                 self.waiting.setdefault(place.machine, {})[(job.id, index)] = place
+        for job in jobs.values():
+            self._join(job, ended or {})
+        for job in jobs.values():
+            if job.state is JobState.CANCELLED:
+                self.needs.cancelled(job.id)
         # Attempts that the batch under way takes off their machines.
         self.leaving: set[AttemptKey] = set()
         # Jobs whose cancellation may have been committed: nobody can say before the store answers again.
         self.doubted_cancels: set[str] = set()
         self.started_at = now
 
+    # -- who waits for whom -------------------------------------------------------------------------------
+
+    def _join(self, job: Job, ended: dict[str, str]) -> None:
+        """Take a job into the graph of needs."""
+        needs = job.spec.needs or ()
+        if job.state is not JobState.ACTIVE:
+            return
+        unmet = [need for need in needs if ended.get(need) != JobState.DONE.value]
+        doomed = any(ended.get(need) == JobState.CANCELLED.value for need in needs)
+        self._relevel(self.needs.add(job.id, needs, unmet, job.spec.rank.level, doomed))
+
+    def _relevel(self, changed: set[str]) -> None:
+        for job_id in changed:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.level = self.needs.level(job_id)
+
+    def ready(self, job: Job) -> bool:
+        """Whether tasks of a job may be placed as far as other jobs go."""
+        return self.needs.ready(job.id)
+
     # -- machines -----------------------------------------------------------------------------------------
 
     def adopt(self, name: str, type_name: str, zone: str, spot: bool, addr: str, now: float) -> Machine:
@@ -203,7 +234,11 @@
     # -- what reports prove -------------------------------------------------------------------------------
 
     def reconcile(self, machine: Machine, batch: Batch, now: float) -> bool:
-        """Put into the batch what the newest report proves; False if the batch is too full to go on."""
+        """Put into the batch what the newest report proves; False if the batch was too full for some of it.
+
+        What lies in records that the batch changes anyway still finds room: under low limits, where a batch holds two
+        records, that is most of what a burst of exits has to say.
+        """
         if machine.state is MachineState.GONE:
             return self._all_lost(machine, batch)
         report = machine.report
@@ -211,6 +246,7 @@
             return True
         order = (report.session, report.seq)
         exits = {(task.task, task.attempt): task for task in report.tasks if task.state == wire_workers.EXITED}
+        whole = True
         for key, place in list(machine.tasks.items()):
             job = batch.get(key[0])
             if job is None or job.places.get(key[1]) is None:
@@ -218,27 +254,29 @@
             attempt = (key[0], key[1], place.attempt)
             state = machine.reported.get(attempt)
             if state is None:
-                if not self._absent(machine, job, key, place, order, batch):
-                    return False
+                whole = self._absent(machine, job, key, place, order, batch) and whole
                 continue
             machine.seen.add(attempt)
             if state != wire_workers.EXITED:
                 continue
-            if not batch.room(job):
-                return False
+            if not batch.room_at(job, key[1]):
+                whole = batch.frozen(job) and whole
+                continue
             exited = exits[(wire_workers.task_name(*key), place.attempt)]
             self._exited(machine, job, key[1], exited.why or wire_workers.ERROR, batch, now)
-        return True
+        return whole
 
     def _all_lost(self, machine: Machine, batch: Batch) -> bool:
+        whole = True
         for key in list(machine.tasks):
             job = batch.get(key[0])
             if job is None or job.places.get(key[1]) is None:
                 continue
-            if not batch.room(job):
-                return False
+            if not batch.room_at(job, key[1]):
+                whole = batch.frozen(job) and whole
+                continue
             self._leave(batch, job, key[1])
-        return True
+        return whole
 
     def _absent(self, machine: Machine, job: Job, key: tuple[str, int], place: Place, order: tuple[int, int],
                 batch: Batch) -> bool:
@@ -254,8 +292,8 @@
         deaf = machine.unheeded > 1
         if not (unwanted or draining or lost or deaf):
             return True
-        if not batch.room(job):
-            return False
+        if not batch.room_at(job, key[1]):
+            return batch.frozen(job)
         self._leave(batch, job, key[1])
         return True
 
@@ -323,6 +361,7 @@
             for chunk in batch.chunks.get(job_id, ()):
                 job.chunk_versions[chunk] = revision
             self.jobs[job_id] = job
+        self._commit_needs(batch, now)
         for job_id, index, old, new in batch.moves:
             job = batch.jobs[job_id]
             usage = self.usage.setdefault(job.spec.team, Usage())
@@ -355,6 +394,25 @@
             if machine is not None and machine.state is MachineState.GONE and not machine.tasks:
                 del self.machines[name]
 
+    def _commit_needs(self, batch: Batch, now: float) -> None:
+        """Bring the graph up to date: first who came, then what ended."""
+        for job_id in batch.created:
+            job = batch.jobs[job_id]
+            ended = {need: JobState.DONE.value for need in job.spec.needs or () if need not in batch.unmet[job_id]}
+            self._join(job, ended)
+        for job_id in batch.heads:
+            job = batch.jobs[job_id]
+            if job.state is JobState.ACTIVE:
+                job.level = self.needs.level(job_id)
+                continue
+            if job.state is JobState.DONE:
+                for ready in self.needs.done(job_id):
+                    self.ready_at[ready] = now
+            else:
+                self.needs.cancelled(job_id)
+            self._relevel(self.needs.remove(job_id))
+            self.ready_at.pop(job_id, None)
+
     # -- what workers are told ----------------------------------------------------------------------------
 
     def orders(self, machine: Machine, report: Report, starts: bool = True) -> list[Signal]:
@@ -419,6 +477,8 @@
         if job.state is not JobState.ACTIVE:
             state = JobState.DONE if job.state is JobState.DONE else JobState.CANCELLED
             return JobView(job.id, state.value, job.done, 0)
+        if job.id in self.needs.doomed:
+            return JobView(job.id, JobState.CANCELLED.value, 0, 0)
         running = 0
         for index, place in job.places.items():
             machine = self.machines.get(place.machine)
--- a/driftcleat/model/jobs.py
+++ b/driftcleat/model/jobs.py
@@ -53,8 +53,8 @@
 class Job:
     """A job with the state of each task. Committed jobs are never changed: a batch changes a copy."""
 
-    __slots__ = ("cancelled_at", "chunk_versions", "done", "launch", "places", "spec", "state", "status",
-                 "submitted", "version")
+    __slots__ = ("cancelled_at", "chunk_versions", "done", "launch", "level", "places", "spec", "split", "state",
+                 "status", "submitted", "version")
 
     def __init__(self, spec: Submission, submitted: float) -> None:
         self.spec = spec
@@ -67,6 +67,10 @@
         self.done = 0
         self.version = 0
         self.chunk_versions: dict[int, int] = {}
+        # How many tasks each of its records holds; 0: as the first data version splits, from today's limits.
+        self.split = 0
+        # The rank's level, or that of a more urgent job that needs this one.
+        self.level = spec.rank.level
 
     def copy(self) -> "Job":
         """Return a copy that may be changed."""
@@ -75,7 +79,7 @@
         twin.cancelled_at, twin.launch, twin.done = self.cancelled_at, self.launch, self.done
         twin.status = bytearray(self.status)
         twin.places = dict(self.places)
-        twin.version = self.version
+        twin.version, twin.split, twin.level = self.version, self.split, self.level
         twin.chunk_versions = dict(self.chunk_versions)
         return twin
 
--- /dev/null
+++ b/driftcleat/model/needs.py
@@ -0,0 +1,100 @@
+"""Which jobs wait for which others: the graph of a term, kept up to date with each commit. Pure, and never recursive.
+
+A job is ready once all jobs that it needs are committed as done. A job below one that is cancelled is doomed: it is
+called cancelled from that moment, its own record follows in a batch of its own. It has never started.
+"""
+
+from collections.abc import Iterable
+
+# Above all levels there are: no rank is less urgent.
+LEAST = 1 << 30
+
+
+class NeedsGraph:
+    """Who waits for whom among the jobs that are not over."""
+
+    def __init__(self) -> None:
+        # By job: all that it needs and what of it is not done; by needed job: who needs it.
+        self.needs: dict[str, frozenset[str]] = {}
+        self.unmet: dict[str, set[str]] = {}
+        self.dependents: dict[str, set[str]] = {}
+        # Jobs below a cancelled one whose own cancellation is not committed yet, in the order in which it was seen.
+        self.doomed: dict[str, None] = {}
+        # The rank's level that a job has by itself, and the most urgent of it and of all that need it.
+        self.own: dict[str, int] = {}
+        self.levels: dict[str, int] = {}
+
+    def ready(self, job_id: str) -> bool:
+        """Whether all that a job needs is done."""
+        return not self.unmet.get(job_id)
+
+    def level(self, job_id: str) -> int:
+        """Return the most urgent level of a job and of those that need it, directly or through others."""
+        return self.levels.get(job_id, LEAST)
+
+    def add(self, job_id: str, needs: Iterable[str], unmet: Iterable[str], level: int,
+            doomed: bool = False) -> set[str]:
+        """Take in a job; return those whose level changed."""
+        self.own[job_id] = level
+        self.needs[job_id] = frozenset(needs)
+        open_needs = set(unmet)
+        if open_needs:
+            self.unmet[job_id] = open_needs
+        for need in self.needs[job_id]:
+            self.dependents.setdefault(need, set()).add(job_id)
+        if doomed or any(need in self.doomed for need in open_needs):
+            self._doom([job_id])
+        return self._relevel([job_id])
+
+    def done(self, job_id: str) -> list[str]:
+        """A job is done: return those that became ready by it."""
+        ready = []
+        for dependent in sorted(self.dependents.get(job_id, ())):
+            open_needs = self.unmet.get(dependent)
+            if open_needs is not None and job_id in open_needs:
+                open_needs.discard(job_id)
+                if not open_needs:
+                    del self.unmet[dependent]
+                    ready.append(dependent)
+        return ready
+
+    def cancelled(self, job_id: str) -> None:
+        """A job is cancelled: all below it are doomed."""
+        self.doomed.pop(job_id, None)
+        self._doom(sorted(self.dependents.get(job_id, ())))
+
+    def _doom(self, stack: list[str]) -> None:
+        while stack:
+            job_id = stack.pop()
+            if job_id in self.own and job_id not in self.doomed:
+                self.doomed[job_id] = None
+                stack.extend(sorted(self.dependents.get(job_id, ())))
+
+    def remove(self, job_id: str) -> set[str]:
+        """A job is over and asks for nothing any more; return those whose level changed."""
+        needs = self.needs.pop(job_id, frozenset())
+        for known in (self.own, self.levels, self.unmet, self.doomed):
+            known.pop(job_id, None)
+        for need in needs:
+            others = self.dependents.get(need)
+            if others is not None:
+                others.discard(job_id)
+                if not others:
+                    del self.dependents[need]
+        return self._relevel(sorted(need for need in needs if need in self.own))
+
+    def _relevel(self, stack: list[str]) -> set[str]:
+        """Work levels out anew, from these jobs up to all that they need; return those that changed."""
+        changed: set[str] = set()
+        while stack:
+            job_id = stack.pop()
+            own = self.own.get(job_id)
+            if own is None:
+                continue
+            level = min([own, *(self.levels[other] for other in self.dependents.get(job_id, ())
+                                if other in self.levels)])
+            if level != self.levels.get(job_id):
+                self.levels[job_id] = level
+                changed.add(job_id)
+                stack.extend(self.needs.get(job_id, ()))
+        return changed
--- a/driftcleat/peers/client.py
+++ b/driftcleat/peers/client.py
@@ -6,6 +6,7 @@
 
 from driftcleat import wire
 from driftcleat.settings import Platform
+from driftcleat.store.records import DATA_VERSION
 from driftcleat.wire import peers as messages
 
 PATH = "/peer"
@@ -47,12 +48,13 @@
 
     async def ping(self, labels: list[str], timeout_s: float) -> list[messages.Pong]:
         """Ask controllers who leads; those that answer are returned."""
-        answers = await asyncio.gather(*(self.send(label, messages.Ping(self.label), timeout_s) for label in labels),
+        question = messages.Ping(self.label, DATA_VERSION)
+        answers = await asyncio.gather(*(self.send(label, question, timeout_s) for label in labels),
                                        return_exceptions=True)
         return [answer for answer in answers if isinstance(answer, messages.Pong)]
 
     async def views(self, timeout_s: float) -> list[messages.View]:
         """Ask every other controller how it sees the world; those that answer are returned."""
-        answers = await asyncio.gather(*(self.send(label, messages.Ask(self.label), timeout_s)
+        answers = await asyncio.gather(*(self.send(label, messages.Ask(self.label, DATA_VERSION), timeout_s)
                                          for label in self.addresses), return_exceptions=True)
         return [answer for answer in answers if isinstance(answer, messages.View)]
--- a/driftcleat/placement/victims.py
+++ b/driftcleat/placement/victims.py
@@ -17,8 +17,8 @@
 
 
 def turn(job: Job, guaranteed: set[str]) -> tuple[bool, int, float, str]:
-    """Return a job's turn: guarantees first, then rank, then age."""
-    return (job.id not in guaranteed, job.spec.rank.level, job.submitted, job.id)
+    """Return a job's turn: guarantees first, then rank (also that of a job which needs it), then age."""
+    return (job.id not in guaranteed, job.level, job.submitted, job.id)
 
 
 def may_displace(job: Job, other: Job, guaranteed: set[str]) -> bool:
@@ -27,7 +27,7 @@
     What is stopped must also come later in the queue. Guards against a circle seen in an incident: a job was
     stopped for one that came behind it, took the place again at once, and was stopped again.
     """
-    lower_rank = other.spec.rank.level > job.spec.rank.level
+    lower_rank = other.level > job.level
     beyond = job.id in guaranteed and other.id not in guaranteed and other.spec.team != job.spec.team
     return (lower_rank or beyond) and turn(other, guaranteed) > turn(job, guaranteed)
 
@@ -50,7 +50,7 @@
                         or (job.is_gang and job.spec.tasks > 1)):
                     continue
                 tasks.append((job, index))
-                lowest = max(lowest, job.spec.rank.level)
+                lowest = max(lowest, job.level)
                 beyond = beyond or job.id not in guaranteed
             if tasks:
                 self._found[machine.name] = (lowest, beyond, tasks)
@@ -58,7 +58,7 @@
 
     def machines(self, job: Job) -> list[Machine]:
         """Return the machines on which this job may displace something."""
-        level, guaranteed = job.spec.rank.level, job.id in self.guaranteed
+        level, guaranteed = job.level, job.id in self.guaranteed
         return [self._machines[name] for name, (lowest, beyond, _) in self._found.items()
                 if lowest > level or (guaranteed and beyond)]
 
--- a/driftcleat/settings/platform.py
+++ b/driftcleat/settings/platform.py
@@ -64,10 +64,14 @@
     gang_wait_s: float
     gang_peer_s: float
     cancel_s: float
+    # What the state service takes: today's limits, or those to come if they are lower. Their fall is not announced.
     state_rps: float
     write_rps: float
     value_bytes: int
     txn_ops: int
+    # Today's, by which the first data version splits jobs into records.
+    first_value_bytes: int
+    first_txn_ops: int
     cloud_rps: float
     list_lag_s: float
     core_share: float
@@ -166,6 +170,10 @@
     deployment = top.table_at("deployment")
     workers = deployment.table_at("workers")
     state = deployment.table_at("state")
+    # A fall of the limits is announced only here.
+    coming = state.table_at("next") if state.value("next", None) is not None else state
+    value_kb, txn_ops = state.number("value_kb", positive=True), state.count("txn_ops")
+    rps, write_rps = state.number("rps", positive=True), state.number("write_rps", positive=True)
     cloud = deployment.table_at("cloud")
     resources = deployment.table_at("resources")
     zones = deployment.value("zones")
@@ -202,8 +210,11 @@
         gang_wait_s=workers.number("gang_wait_s", positive=True),
         gang_peer_s=workers.number("gang_peer_s", positive=True),
         cancel_s=workers.number("cancel_s", positive=True),
-        state_rps=state.number("rps", positive=True), write_rps=state.number("write_rps", positive=True),
-        value_bytes=int(state.number("value_kb", positive=True) * 1024), txn_ops=state.count("txn_ops"),
+        state_rps=min(rps, coming.number("rps", rps, positive=True)),
+        write_rps=min(write_rps, coming.number("write_rps", write_rps, positive=True)),
+        value_bytes=int(min(value_kb, coming.number("value_kb", value_kb, positive=True)) * 1024),
+        txn_ops=min(txn_ops, coming.count("txn_ops", txn_ops)),
+        first_value_bytes=int(value_kb * 1024), first_txn_ops=txn_ops,
         cloud_rps=cloud.number("rps", positive=True), list_lag_s=cloud.number("list_lag_s"),
         core_share=resources.number("core_share", 1.0, positive=True),
         memory_mb=resources.number("memory_mb", 256.0, positive=True), fd_limit=fd_limit,
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -32,6 +32,10 @@
     """The store calls the request wrong (400), or its answer is not one."""
 
 
+class Rejected(Malformed):
+    """The store calls the request wrong and has not carried it out."""
+
+
 class Conflict(StoreError):
     """A transaction whose conditions did not hold."""
 
@@ -126,7 +130,7 @@
         if status == 400:
             if b"no such lease" in data:
                 raise NoLease("no such lease")
-            raise self._bad(f"{method} {path}: {data[:200]!r}")
+            raise Rejected(str(self._bad(f"{method} {path}: {data[:200]!r}")))
         return status, data
 
     async def _exchange(self, method: str, path: str, body: bytes | None, params: dict[str, str] | None,
@@ -219,5 +223,5 @@
         return self._expect(status, data, messages.WatchAnswer)
 
 
-__all__ = ["Bucket", "Conflict", "Malformed", "NoLease", "Refused", "StoreClient", "StoreError", "StoreLimits",
-           "Unknown"]
+__all__ = ["Bucket", "Conflict", "Malformed", "NoLease", "Refused", "Rejected", "StoreClient", "StoreError",
+           "StoreLimits", "Unknown"]
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -10,7 +10,9 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
+from driftcleat import wire
 from driftcleat.fleet.arrivals import Arrivals
 from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Demand, Offer, Plan, plan_fleet
@@ -19,7 +21,16 @@
 from driftcleat.placement.rooms import SLACK, Room, allowed, capacity, fits, hasty, spread_limit
 from driftcleat.placement.victims import Victims, turn
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.records import MACHINES, RENTALS, Layout, MachineRecord, RentalRecord
+from driftcleat.store.records import (
+    DATA_VERSION,
+    MACHINES,
+    RENTALS,
+    VERSION,
+    Layout,
+    MachineRecord,
+    RentalRecord,
+    chunk_key,
+)
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import JobView, Kind, Submission
 from driftcleat.wire.workers import FETCHING, RUNNING
@@ -36,6 +47,8 @@
     answer: Callable[[JobView | None], None]
     spec: Submission | None = None
     job_id: str = ""
+    # Final states of jobs that the submission needs, as far as they were found among the ended ones.
+    ended: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -60,6 +73,17 @@
     failures: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Move:
+    """A job's records on their way to another split: all chunks first, the head that names them last."""
+
+    job_id: str
+    split: int
+    written: int = 1
+    # The chunks' versions; 0 for those in the batch under way.
+    versions: dict[int, int] = field(default_factory=dict)
+
+
 class Term:
     """The decisions of one term."""
 
@@ -91,6 +115,12 @@
         self.resume_behind: str | None = None
         self.claims: dict[str, float] = {}
         self.image_claims: set[str] = set()
+        # Whether every controller is known to write data version 2, so that it may begin.
+        self.latch_wanted = False
+        self.moving: Move | None = None
+        self.unmoved: set[str] = set()
+        # Jobs that something waits for until their records are moved.
+        self.move_first: dict[str, None] = {}
         # Machines whose room is kept for a job until a time: what it displaced, or what its gang still lacks.
         self.held: dict[str, tuple[str, float]] = {}
         self.draining: set[str] = set()
@@ -105,7 +135,11 @@
         cluster.on_image = self._note_images
         cluster.on_notice = lambda machine, notice_s: self.drain(machine, f"notice of {notice_s:.1f} s")
         for job in cluster.jobs.values():
-            self.arrivals.note(job.spec, now - max(0.0, wall() - job.submitted))
+            layout.take_in(job)
+            if layout.must_move(job):
+                self.unmoved.add(job.id)
+            if cluster.ready(job):
+                self.arrivals.note(job.spec, now - max(0.0, wall() - job.submitted))
 
     # -- intake -------------------------------------------------------------------------------------------
 
@@ -157,8 +191,14 @@
         now = self.clock()
         return bool(self.submissions or self.cancels or self.cluster.dirty or self.new_rentals
                     or self.settled_rentals or self.garbage or self.notes or self.check_drains
+                    or self.cluster.needs.doomed or self.must_latch or self._to_move() is not None
                     or self._round_due(now))
 
+    @property
+    def must_latch(self) -> bool:
+        """Whether data version 2 is to begin with the next batch."""
+        return self.latch_wanted and not self.layout.switched
+
     def _round_due(self, now: float) -> bool:
         return self.room_changed and now >= max(self.place_from, self.place_again_at, self.place_not_before)
 
@@ -168,33 +208,133 @@
         Users come first: a part of the changes a second stays free for them, and what only tidies up is left
         for when there are changes to spare. Guards against submissions waiting behind hundreds of notes.
         """
+        batch = self._build(changes, self.platform.txn_ops)
+        stuck = batch.empty and not batch.after and bool(self.cluster.dirty or self.check_drains)
+        if stuck and not self.layout.switched and self.platform.first_txn_ops > self.platform.txn_ops:
+            # A gang that the first data version keeps in more records than the lower limit allows to change at once.
+            # Guards against everything waiting behind it until the switch.
+            batch = self._build(changes, self.platform.first_txn_ops)
+        return batch
+
+    def _build(self, changes: float, txn_ops: int) -> Batch:
         now = self.clock()
-        most = self.platform.txn_ops - 1
-        batch = Batch(self.cluster.jobs, self.layout.chunk_of, most, 56 * 1024)
+        most = txn_ops - 1
+        batch = Batch(self.cluster.jobs, self.layout.chunk_of, most, 56 * 1024, self.layout.must_move)
+        # Only who knows that every controller is new hands such a job in.
+        self.latch_wanted = self.latch_wanted or any(ticket.spec is not None and ticket.spec.needs
+                                                     for ticket in self.submissions)
+        if self.must_latch:
+            batch.put(VERSION, DATA_VERSION)
+            batch.after.append(self._switch)
+            return batch
         self._take_cancels(batch)
         self._take_submissions(batch, now)
         users = most - batch.ops_left
+        self._take_doomed(batch)
+        self._take_moves(batch)
         spare = changes - 1 - users - self.platform.write_rps * self.tuning.reserve
-        batch.ops_left = room = int(max(0, min(batch.ops_left, spare)))
+        moved = most - users - batch.ops_left
+        batch.ops_left = room = int(max(0, min(batch.ops_left, spare - moved)))
         self._take_reports(batch, now)
         self._take_drains(batch)
         self._take_rentals(batch)
         if not users and self._round_due(now):
             self._place(batch, now)
-        tidy = spare - (room - batch.ops_left) - self.platform.write_rps * self.tuning.tidy
+        tidy = spare - moved - (room - batch.ops_left) - self.platform.write_rps * self.tuning.tidy
         batch.ops_left = int(max(0, min(batch.ops_left, tidy)))
         while self.garbage and batch.room_extra():
-            batch.remove(self.garbage.pop())
+            key = self.garbage.pop()
+            batch.remove(key)
+            batch.undo.append(partial(self.garbage.append, key))
         while self.notes and batch.room_extra():
-            batch.put(*self.notes.popitem())
+            key, value = self.notes.popitem()
+            batch.put(key, value)
+            batch.undo.append(partial(self.notes.__setitem__, key, value))
+        self.move_first.update(dict.fromkeys(sorted(batch.blocked)))
         self.in_flight = {place.machine for _, _, _, place in batch.moves if place is not None}
         self.cluster.leaving = {(job_id, index, old.attempt) for job_id, index, old, new in batch.moves
                                 if old is not None and new is None}
         return batch
 
+    def _switch(self) -> None:
+        """Data version 2 is in force: there is no way back."""
+        log.info("data version %d begins", DATA_VERSION)
+        self.layout.switched = True
+        for job in self.cluster.jobs.values():
+            self.layout.take_in(job)
+        self.unmoved = {job.id for job in self.cluster.jobs.values() if self.layout.must_move(job)}
+        self.note_room()
+
+    def discard(self, batch: Batch) -> None:
+        """A batch is certainly not carried out, and will not be sent again: what it took waits for the next one."""
+        for call in reversed(batch.undo):
+            call()
+        if self.moving is not None:
+            # Its chunks are garbage, or written once more.
+            self.moving = None
+        self.cluster.dirty.update(name for name, machine in self.cluster.machines.items()
+                                  if machine.report is not None or machine.state is MachineState.GONE)
+        self.cluster.leaving.clear()
+        self.cluster.doubted_cancels.clear()
+        self.check_drains = True
+        self.in_flight = set()
+        self.note_room()
+
+    # -- records in other pieces --------------------------------------------------------------------------
+
+    def _to_move(self) -> Job | None:
+        """Return the job whose records are to be moved next: one that something waits for, if there is any."""
+        if not self.unmoved:
+            return None
+        if self.moving is not None and self.moving.job_id in self.cluster.jobs:
+            return self.cluster.jobs[self.moving.job_id]
+        self.moving = None
+        self.unmoved &= self.cluster.jobs.keys()
+        self.move_first = {job_id: None for job_id in self.move_first if job_id in self.unmoved}
+        return self.cluster.jobs[min(self.move_first or self.unmoved)] if self.unmoved else None
+
+    def _take_moves(self, batch: Batch) -> None:
+        """Write the records of jobs of the first data version anew, in pieces that the limits to come allow.
+
+        A job does not change meanwhile, so its chunks may be written in several batches. Until the head names them
+        they are garbage, and the old ones valid; a leader that ends in between leaves it at that.
+        """
+        while batch.ops_left > 0 and (job := self._to_move()) is not None:
+            if self.moving is None:
+                split = self.layout.own_split(job)
+                self.moving = Move(job.id, split)
+                # An earlier leader may have left some of the very keys: they are no garbage from now on.
+                prefix = chunk_key(job.id, 0, split)[:-1]
+                self.garbage = [key for key in self.garbage if not key.startswith(prefix)]
+            move = self.moving
+            chunks = -(-job.spec.tasks // move.split)
+            while move.written < chunks and batch.room_extra():
+                batch.put(chunk_key(job.id, move.written, move.split),
+                          self.layout.chunk_in(job, move.split, move.written))
+                move.versions[move.written] = 0
+                move.written += 1
+            if move.written < chunks or not batch.room_extra():
+                return
+            batch.relay(job.id, move.split, move.versions)
+            batch.after.append(self._end_move(job))
+            return
+
+    def _end_move(self, job: Job) -> Callable[[], None]:
+        old = [chunk_key(job.id, chunk, job.split) for chunk in job.chunk_versions]
+
+        def ended() -> None:
+            self.garbage.extend(old)
+            self.moving = None
+            self.unmoved.discard(job.id)
+            self.note_room()
+        return ended
+
     def commit(self, batch: Batch, revision: int, garbage: list[str]) -> None:
         """Make a batch visible that the store has taken."""
         now = self.clock()
+        if self.moving is not None:
+            for chunk, version in self.moving.versions.items():
+                self.moving.versions[chunk] = version or revision
         for job_id in batch.heads:
             job = batch.jobs[job_id]
             if job.state in (JobState.DONE, JobState.GONE):
@@ -205,6 +345,10 @@
             elif job.state is JobState.CANCELLED:
                 self.urgent.update(place.machine for place in job.places.values())
         self.cluster.commit(batch, revision, now)
+        for job_id, ready_at in self.cluster.ready_at.items():
+            if ready_at == now:
+                self.arrivals.note(self.cluster.jobs[job_id].spec, now)
+                self.note_room()
         self.cluster.doubted_cancels.clear()
         self.cluster.leaving.clear()
         if batch.created:
@@ -244,6 +388,8 @@
     def _note_images(self, machine: Machine) -> None:
         """Keep what a machine has cached: a new leader would otherwise fetch it all again elsewhere."""
         images = [(image, size_gb) for image, size_gb in machine.images.items() if image in machine.fetched]
+        while len(wire.encode(MachineRecord(images))) > self.layout.value_bytes:
+            images = images[1 + len(images) // 8:]
         names = tuple(sorted(image for image, _ in images))
         if names != self.image_notes.get(machine.name):
             self.image_notes[machine.name] = names
@@ -262,15 +408,32 @@
         self.image_notes[name] = tuple(sorted(image for image, _ in record.images))
 
     def _take_cancels(self, batch: Batch) -> None:
+        waiting: list[Ticket] = []
         while self.cancels:
             ticket = self.cancels[0]
             job = batch.get(ticket.job_id)
-            if job is not None and job.state is JobState.ACTIVE:
+            frozen = job is not None and job.state is JobState.ACTIVE and batch.frozen(job)
+            if job is not None and job.state is JobState.ACTIVE and not frozen:
                 if not batch.room(job, ends=True):
-                    return
+                    break
                 batch.cancel(ticket.job_id, self.wall())
             self.cancels.popleft()
+            if frozen:
+                waiting.append(ticket)
+                continue
+            batch.undo.append(partial(self.cancels.appendleft, ticket))
             batch.after.append(self._answer_later(ticket, ticket.job_id))
+        self.cancels.extend(waiting)
+
+    def _take_doomed(self, batch: Batch) -> None:
+        """Cancel what depends on cancelled jobs: nothing of it has ever started, its records are all there is."""
+        for job_id in list(self.cluster.needs.doomed):
+            job = batch.get(job_id)
+            if job is None or job.state is not JobState.ACTIVE or batch.frozen(job):
+                continue
+            if not batch.room(job, ends=True):
+                return
+            batch.cancel(job_id, self.wall())
 
     def _take_submissions(self, batch: Batch, now: float) -> None:
         while self.submissions:
@@ -279,23 +442,42 @@
             assert spec is not None
             if batch.get(spec.id) is None and spec.id not in self.ended:
                 job = Job(spec, self.wall())
+                self.layout.take_in(job)
                 if not batch.room(job):
                     return
-                batch.create(job)
-                self.arrivals.note(spec, now)
+                states = {need: self._need_state(batch, need, ticket) for need in spec.needs or ()}
+                batch.create(job, {need for need, state in states.items() if state is not JobState.DONE})
+                if JobState.CANCELLED in states.values():
+                    batch.cancel(job.id, self.wall())
+                elif not batch.unmet[job.id]:
+                    self.arrivals.note(spec, now)
                 log.debug("job %s (%s) accepted: %d tasks", spec.id, spec.job_class, spec.tasks)
             self.submissions.popleft()
+            batch.undo.append(partial(self.submissions.appendleft, ticket))
             batch.after.append(self._answer_later(ticket, spec.id))
 
+    def _need_state(self, batch: Batch, need: str, ticket: Ticket) -> JobState:
+        """Return how a needed job stands as this batch leaves it: ACTIVE, DONE or CANCELLED."""
+        job = batch.get(need)
+        if job is not None:
+            # What ends in this very batch is told to the graph after the newcomer has joined it.
+            gone = job.state in (JobState.CANCELLED, JobState.GONE) or need in self.cluster.needs.doomed
+            return JobState.CANCELLED if gone else JobState.ACTIVE
+        view = self.ended.get(need)
+        return JobState(view.state if view is not None else ticket.ended.get(need, JobState.ACTIVE.value))
+
     def _answer_later(self, ticket: Ticket, job_id: str) -> Callable[[], None]:
         return lambda: ticket.answer(self.lookup(job_id))
 
     def _take_reports(self, batch: Batch, now: float) -> None:
         for name in list(self.cluster.dirty):
             machine = self.cluster.machines.get(name)
+            waiting = set(batch.blocked)
             if machine is not None and not self.cluster.reconcile(machine, batch, now):
-                return
-            self.cluster.dirty.discard(name)
+                if self.clock() - now > self.platform.report_s * self.tuning.budget:
+                    return
+            elif batch.blocked == waiting:
+                self.cluster.dirty.discard(name)
 
     def _take_drains(self, batch: Batch) -> None:
         """Stop what runs on machines that take no more."""
@@ -309,8 +491,10 @@
                 if job is None or job.state is not JobState.ACTIVE:
                     continue
                 if not self._stop_attempt(batch, job, index):
+                    if batch.frozen(job):
+                        continue
                     return
-        self.check_drains = False
+        self.check_drains = bool(batch.blocked)
 
     def _stop_attempt(self, batch: Batch, job: Job, index: int) -> bool:
         """Stop a task with time to save; of a gang all tasks. False when the batch is too full."""
@@ -319,7 +503,7 @@
             return True
         grace = job.spec.save_s if job.spec.checkpoint_s > 0 else 0.0
         indices = list(job.places) if job.is_gang else [index]
-        chunks = len({self.layout.chunk_of(job, other) for other in indices})
+        chunks = len({self.layout.chunk_of(job, other) for other in indices} - {0})
         if not batch.room(job, len(indices), chunks):
             return False
         for other in indices:
@@ -328,10 +512,13 @@
 
     def _take_rentals(self, batch: Batch) -> None:
         while self.settled_rentals and batch.room_extra():
-            batch.remove(RENTALS + self.settled_rentals.pop())
+            name = self.settled_rentals.pop()
+            batch.remove(RENTALS + name)
+            batch.undo.append(partial(self.settled_rentals.append, name))
         while self.new_rentals and batch.room_extra():
             rental = self.new_rentals.pop(0)
             batch.put(RENTALS + rental.name, rental.record)
+            batch.undo.append(partial(self.new_rentals.insert, 0, rental))
             batch.after.append(self._open_later(rental))
 
     def _open_later(self, rental: OpenRental) -> Callable[[], None]:
@@ -353,7 +540,8 @@
         sums: dict[str, list[float]] = {}
         queued: list[Job] = []
         for job in sorted(self.cluster.jobs.values(), key=lambda job: (job.submitted, job.id)):
-            if job.state is not JobState.ACTIVE:
+            if job.state is not JobState.ACTIVE or not self.cluster.ready(job):
+                # What waits for others takes no place, and no part of a limit or a guarantee.
                 continue
             team = self.platform.teams.get(job.spec.team)
             total = sums.setdefault(job.spec.team, [0.0, 0.0])
@@ -441,6 +629,9 @@
                 # It changes in this batch already; it is placed in the next one.
                 self.room_changed = True
                 continue
+            if batch.frozen(job):
+                self.room_changed = True
+                continue
             if self.clock() >= deadline or not batch.room(job):
                 # The budget of this round is used up: the next one goes on behind the job before this.
                 self._cut_round(job, queued)
@@ -473,6 +664,11 @@
         if self._make_room_by_image(batch, job, scene, limit):
             return
         placed = scene.work.place(job, limit, most, self._most_fetches(job, scene.now))
+        if placed and not job.is_gang:
+            placed = self._within_records(batch, job, placed)
+            if not placed:
+                self.room_changed = True
+                return
         if placed:
             attempt = batch.launch(job.id)
             for index, room in placed:
@@ -485,6 +681,15 @@
         elif job.queued and limit.fits(job.spec, job.queued if job.is_gang else 1):
             self._preempt_for(batch, job, scene)
 
+    def _within_records(self, batch: Batch, job: Job, placed: list[tuple[int, Room]]) -> list[tuple[int, Room]]:
+        """Return as many of an array's or service's new places as the records that may still change can take."""
+        chunks: set[int] = set()
+        for count, (index, _) in enumerate(placed):
+            chunks |= {self.layout.chunk_of(job, index)} - {0}
+            if not batch.room(job, count + 1, len(chunks)):
+                return placed[:count]
+        return placed
+
     def _end_claims(self, job_id: str) -> None:
         """A job has found its places, or is over: nothing is kept for it any more."""
         self.claims.pop(job_id, None)
@@ -534,9 +739,14 @@
             kind = self.cluster.types.get(name)
             if (kind is not None and allowed(job.spec, name, zone, spot)
                     and fits(job.spec, kind.cpus, kind.gpus, kind.memory_gb)):
-                return self.wall() - job.submitted < kind.boot_s * self.tuning.patience
+                return self._waited_s(job) < kind.boot_s * self.tuning.patience
         return False
 
+    def _waited_s(self, job: Job) -> float:
+        """Return for how long a job could have run, as far as other jobs go."""
+        ready_at = self.cluster.ready_at.get(job.id)
+        return self.wall() - job.submitted if ready_at is None else self.clock() - ready_at
+
     def _batch_most(self, batch: Batch, job: Job) -> int:
         """Return how many tasks of a job this batch can still place."""
         chunk = self.layout.chunk_tasks(job)
@@ -558,7 +768,7 @@
         """Make room for a job that found none."""
         if self.claims.get(job.id, 0.0) > scene.now:
             return
-        if job.id in scene.guaranteed or job.spec.rank.level <= 1:
+        if job.id in scene.guaranteed or job.level <= 1:
             if job.is_gang and job.spec.tasks > 1:
                 self._displace_for_gang(batch, job, scene)
                 return
@@ -742,7 +952,7 @@
                     tasks[job_id] = tasks.get(job_id, 0) + 1
         jobs = ((self.cluster.jobs.get(job_id), count) for job_id, count in tasks.items())
         return [Demand(job.spec, count, {}) for job, count in jobs
-                if job is not None and job.state is JobState.ACTIVE and job.spec.rank.level <= 1]
+                if job is not None and job.state is JobState.ACTIVE and job.level <= 1]
 
     def _runs(self, machine: Machine) -> bool:
         """Whether a machine is up as far as its reports or the cloud's list have told."""
--- a/driftcleat/wire/peers.py
+++ b/driftcleat/wire/peers.py
@@ -1,4 +1,8 @@
-"""Messages between controllers: tagged tuples (array-like structs, the tag first)."""
+"""Messages between controllers: tagged tuples (array-like structs, the tag first).
+
+A version that does not know a trailing field ignores it, one that misses it takes its default: so versions that run
+side by side understand one another. `data_version` is the newest version of the records that the speaker can write.
+"""
 
 import msgspec
 
@@ -7,6 +11,7 @@
     """Asks a controller how it sees the world."""
 
     sender: str
+    data_version: int = 1
 
 
 class Standing(msgspec.Struct, frozen=True, array_like=True):
@@ -32,12 +37,14 @@
     refused_age_s: float
     vouches: bool = False
     standing: Standing | None = None
+    data_version: int = 1
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
     """Asks who leads, as far as the other knows; costs no call to the store."""
 
     sender: str
+    data_version: int = 1
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
@@ -48,6 +55,7 @@
     leader: str | None
     token: int
     standing: Standing | None = None
+    data_version: int = 1
 
 
 class Forward(msgspec.Struct, frozen=True, array_like=True, tag="forward"):
--- a/driftcleat/wire/users.py
+++ b/driftcleat/wire/users.py
@@ -65,6 +65,8 @@
     types: tuple[str, ...] | None = msgspec.field(name="builds", default=None)
     zone: str | None = msgspec.field(name="harbor", default=None)
     deadline_s: float | None = msgspec.field(name="tideS", default=None)
+    # Jobs that must be done before any task of this one starts; each once.
+    needs: tuple[str, ...] | None = msgspec.field(name="tows", default=None)
 
 
 class JobView(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -126,7 +128,33 @@
             raise BadField(name, str(error)) from None
     job = msgspec.convert({name: raw[name] for name in known if name in raw}, Submission)
     _check_ranges(job)
-    return job
+    return msgspec.structs.replace(job, needs=tuple(dict.fromkeys(job.needs)) if job.needs else None)
+
+
+def pack_ids(job_ids: tuple[str, ...]) -> str:
+    """Return job ids as a short text; their order is lost."""
+    by_length: dict[int, list[int]] = {}
+    for job_id in job_ids:
+        digits = job_id.partition("-")[2]
+        by_length.setdefault(len(digits), []).append(int(digits))
+    parts = []
+    for length, numbers in sorted(by_length.items()):
+        numbers.sort()
+        steps = [number - before for before, number in zip([0, *numbers], numbers, strict=False)]
+        parts.append(f"{length}:" + ",".join(f"{step:x}" for step in steps))
+    return ";".join(parts)
+
+
+def unpack_ids(text: str) -> tuple[str, ...]:
+    """Return the job ids that `pack_ids` wrote."""
+    out: list[str] = []
+    for part in text.split(";") if text else ():
+        length, _, steps = part.partition(":")
+        number = 0
+        for step in steps.split(","):
+            number += int(step, 16)
+            out.append(f"req-{number:0{int(length)}d}")
+    return tuple(out)
 
 
 def _check_ranges(job: Submission) -> None:
@@ -144,6 +172,9 @@
     for name, amount in amounts:
         if amount is not None and not (math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT):
             raise BadField(name, "must be a number that is not negative")
+    for need in job.needs or ():
+        if not is_job_id(need):
+            raise BadField("tows", "must be null or a list of job ids")
     if job.types is not None:
         if not 1 <= len(job.types) <= MAX_TYPES:
             raise BadField("builds", f"must be null or name 1 to {MAX_TYPES} types")
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -130,6 +130,12 @@
         return []
 
 
+def as_production_says(body: bytes) -> bytes:
+    """Return a question of a controller without the data version behind its other elements."""
+    message = json.loads(body)
+    return json.dumps(message[:2] if message[0] in ("ask", "ping") else message).encode()
+
+
 class SimulatedWorker(PlainWorker):
     """A worker; `mute`: it reaches no controller, direct commands reach it."""
 
@@ -173,6 +179,8 @@
         self.capacity = 14
         # The first rule that broke, or anything else that failed beside the story.
         self.broken: BaseException | None = None
+        # Controllers that do not say that they can write more than the first data version.
+        self.old: set[str] = set()
         self.starts_after_cancel: list[str] = []
         self.cancelled: set[str] = set()
         self.begun: set[str] = set()
@@ -305,6 +313,11 @@
             if label not in self.processes:
                 self.start(label)
 
+    def lower_limits(self) -> None:
+        """The state service takes less from now on."""
+        self.store.lower()
+        self.state.write_rps, self.state.level, self.state.filled_at = self.platform.write_rps, 0.0, self.time()
+
     # -- messages -----------------------------------------------------------------------------------------
 
     async def forever(self) -> Any:
@@ -340,6 +353,8 @@
             await self.forever()
         if not self.up(label):
             raise OSError("refused")
+        if sender in self.old:
+            body = as_production_says(body)
         answer = await self.controllers[label].answer_peer(body)
         if frozenset((sender, label)) in self.apart:
             await self.forever()
@@ -472,7 +487,10 @@
             for _ in range(60):
                 status, answer = await self.ask("POST", "/v1/jobs", raw, label)
                 if status in (200, 201):
-                    self.told.setdefault(spec.id, answer["bearing"])
+                    if spec.id not in self.told:
+                        self.told[spec.id] = "pending"
+                    if answer["bearing"] in ("done", "cancelled"):
+                        self.hear(spec.id, answer["bearing"])
                     return
                 if status in (400, 422) and spec.id in self.told:
                     raise RuleBroken(f"forgotten: {spec.id} got {status}")
@@ -498,10 +516,13 @@
         before = self.told.get(job_id)
         if before in ("done", "cancelled") and bearing != before:
             raise RuleBroken(f"went_back: {job_id} {before} -> {bearing}")
+        above = self.cancelled_before(job_id)
         if bearing == "cancelled":
-            if job_id not in self.cancelled:
+            if job_id not in self.cancelled and above is None and not self._asked_above(job_id):
                 raise RuleBroken(f"went_back: {job_id} cancelled by nobody")
             self.cancelled_at.setdefault(job_id, self.time())
+        elif bearing != "done" and above is not None and self.time() > above + self.platform.cancel_s:
+            raise RuleBroken(f"orphaned: {job_id} is called {bearing}")
         if bearing == "done":
             missing = [index for index in range(self.specs[job_id].tasks) if (job_id, index) not in self.finished]
             if missing:
@@ -510,6 +531,18 @@
 
     cancelled: set[str]
 
+    def _asked_above(self, job_id: str) -> bool:
+        """Whether some user has asked to cancel a job that this one needs, directly or through others."""
+        seen, asked = set(), [job_id]
+        while asked:
+            current = asked.pop()
+            if current in self.cancelled:
+                return True
+            if current not in seen:
+                seen.add(current)
+                asked.extend(self.specs[current].needs or ())
+        return False
+
     async def poll(self, job_id: str, label: str | None = None) -> int:
         """A user asks for a job once; return the status."""
         status, answer = await self.ask("GET", f"/v1/jobs/{job_id}", label=label)
@@ -542,6 +575,7 @@
             team = self.platform.teams[spec.team]
             used = sum(task.job.gpus for _, task in live if task.job.team == spec.team)
             if (state in ("done", "cancelled") or job_id in self.cancelled
+                    or any(self.told.get(need) != "done" for need in spec.needs or ())
                     or any(task.job.id == job_id for _, task in live)
                     or (spec.kind is Kind.GANG and spec.tasks > 1) or used + spec.gpus > team.gpus_max + 1e-6
                     or not any(self._has_room(worker, spec) for worker in self.alive())):
@@ -569,13 +603,14 @@
             await self.rest(1.0)
         end = calm_at + 600.0
         passed_over: dict[str, float] = {}
+        spec_of = self.specs
         while self.time() < end:
             await self.rest(5.0)
             self._watch_waiting(passed_over)
             for job_id, state in sorted(self.told.items()):
                 if state not in ("done", "cancelled"):
                     await self.poll(job_id)
-                    if self.specs[job_id].kind is Kind.SERVICE and job_id not in self.cancelled:
+                    if spec_of[job_id].kind is Kind.SERVICE and job_id not in self.cancelled:
                         # Services run, and hold their team's quota, until somebody calls them off.
                         self.call_off(job_id)
             if set(self.told.values()) <= {"done", "cancelled"} and not self.on_machines():
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -49,7 +49,11 @@
         self.attached: dict[str, int] = {}
         self.down_for: set[str] = set()
         self.number = 0
-        self.txns = 0
+        # Transactions in all, and those above the limits.
+        self.txns = self.refused = 0
+        # The changes a second that are taken, if that is bounded, and what is left of a second's worth.
+        self.write_rps: float | None = None
+        self.level, self.filled_at = 0.0, 0.0
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -131,6 +135,15 @@
         """Carry out a transaction."""
         raw = json.loads(body)
         self.txns += 1
+        if not self.store.takes(raw):
+            self.refused += 1
+            return 400, {"error": "too large"}
+        if self.write_rps is not None:
+            self.level = min(self.write_rps, self.level + (self.now() - self.filled_at) * self.write_rps)
+            self.filled_at = self.now()
+            if self.level < len(raw["then"]):
+                return 429, {"error": "too many changes"}
+            self.level -= len(raw["then"])
         for change in raw["then"]:
             if change.get("berth") is not None and change["berth"] not in self.leases:
                 return 400, {"error": "no such lease"}
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -92,7 +92,8 @@
     assert old is not None
     before = {(worker.name, task.job.id, task.attempt) for worker, task in sim.on_machines()}
     sim.state.down_for.add(old)
-    await sim.rest(sim.controllers[old].election.ttl_s * 0.8)
+    await sim.until(lambda: sim.role(old) is Role.UNSURE)
+    await sim.rest(0.1)
     sim.state.down_for.add("all")
     await sim.rest(sim.platform.cancel_s + 10.0)
     assert sim.role(old) is Role.UNSURE
@@ -571,7 +572,7 @@
     await sim.rest(3.0)
     await ask_all(certain=False)
     sim.state.heal()
-    sim.slow_s = 0.5
+    sim.slow_s = 0.3
     await sim.rest(5.0)
     await ask_all(certain=False)
     assert set(sim.told) == set(ids)
--- a/tests/test_meetings_walk.py
+++ b/tests/test_meetings_walk.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from driftcleat.wire.users import Kind
+
 from .samples import raw_job
 from .simulation import LABELS, Simulation
 
@@ -125,8 +127,8 @@
             slow_store, cloud_down, links_heal, links_heal]
 
 
-def some_job(rng: random.Random, number: int) -> dict[str, object]:
-    """Return a submission; services are those with no estimate."""
+def some_job(rng: random.Random, number: int, known: list[str]) -> dict[str, object]:
+    """Return a submission; services are those with no estimate. Some need jobs that were accepted."""
     rig = rng.choice(["array", "array", "group", "daemon"])
     spread = rng.random() < 0.15
     return raw_job(number, rig=rig, crew=rng.choice(["red", "blue"]),
@@ -134,19 +136,25 @@
                    cores=rng.choice([1.0, 4.0]), harbor=None if spread else rng.choice([None, None, "north"]),
                    together=not spread and rng.random() < 0.3, spread=spread, driftwood=rng.random() < 0.3,
                    voyageS=0.0 if rig == "daemon" else rng.choice([5.0, 20.0, 60.0]),
-                   mooringS=rng.choice([0.0, 10.0]))
+                   mooringS=rng.choice([0.0, 10.0]), tows=rng.sample(known, min(len(known), rng.choice([0, 1, 2]))))
+
+
+def accepted(sim: Simulation) -> list[str]:
+    """Return the accepted jobs that others may need."""
+    return sorted(job_id for job_id in sim.told if sim.specs[job_id].kind is not Kind.SERVICE)
 
 
 def walk(seed: int) -> Simulation:
     rng = random.Random(seed)
-    sim = Simulation(seed)
+    sim = Simulation(seed, next={"value_kb": 2.0, "txn_ops": 4, "write_rps": 35.0})
 
     async def story(sim: Simulation) -> None:
         number = 0
         for _ in range(6):
             number += 1
-            sim.hand_in(some_job(rng, number))
-        await sim.rest(12.0)
+            sim.hand_in(some_job(rng, number, accepted(sim)))
+            await sim.rest(0.5)
+        await sim.rest(9.0)
         for _ in range(rng.randrange(4, 12)):
             for trouble in rng.sample(TROUBLES, 2):
                 trouble(sim, rng)
@@ -155,7 +163,9 @@
                     sim.call_off(f"req-{rng.randrange(1, number + 1):06d}")
             if rng.random() < 0.5:
                 number += 1
-                sim.hand_in(some_job(rng, number))
+                sim.hand_in(some_job(rng, number, accepted(sim)))
+            if rng.random() < 0.1:
+                sim.lower_limits()
             for _ in range(3):
                 await sim.poll(f"req-{rng.randrange(1, number + 1):06d}")
             await sim.rest(rng.choice([0.5, 3.0, 15.0, 40.0]))
--- /dev/null
+++ b/tests/test_needs.py
@@ -0,0 +1,217 @@
+"""Jobs that need others: the graph against a plain model, and whole lives of pipelines in the plain world."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from driftcleat.model.needs import NeedsGraph
+from driftcleat.wire.users import BadField, pack_ids, parse_submission, unpack_ids
+
+from .samples import TYPES, job, platform, raw_job
+from .world import World
+
+
+class PlainGraph:
+    """The slow plain model: a dictionary of jobs, everything recomputed from scratch each time."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, tuple[tuple[str, ...], int]] = {}
+        self.state: dict[str, str] = {}
+
+    def ready(self, job_id: str) -> bool:
+        return all(self.state[need] == "done" for need in self.jobs[job_id][0])
+
+    def below_cancelled(self, job_id: str) -> bool:
+        return any(self.state[need] == "cancelled" or (self.state[need] == "active" and self.below_cancelled(need))
+                   for need in self.jobs[job_id][0])
+
+    def level(self, job_id: str) -> int:
+        return min([self.jobs[job_id][1], *(self.level(other) for other, (needs, _) in self.jobs.items()
+                                            if job_id in needs and self.state[other] == "active")])
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.data())
+def test_the_graph_holds_what_the_plain_model_holds(data: st.DataObject) -> None:
+    graph, plain = NeedsGraph(), PlainGraph()
+    for number in range(data.draw(st.integers(1, 25))):
+        active = sorted(job_id for job_id, state in plain.state.items() if state == "active")
+        what = data.draw(st.sampled_from(["add", "add", "done", "cancel"]))
+        if what == "add" or not active:
+            job_id, level = f"j{number:02d}", data.draw(st.integers(0, 3))
+            needs = tuple(data.draw(st.lists(st.sampled_from(sorted(plain.state)), unique=True, max_size=4))
+                          if plain.state else ())
+            plain.jobs[job_id], plain.state[job_id] = (needs, level), "active"
+            graph.add(job_id, needs, [need for need in needs if plain.state[need] != "done"], level,
+                      any(plain.state[need] == "cancelled" for need in needs))
+        elif what == "done":
+            ready = [job_id for job_id in active if plain.ready(job_id)]
+            if ready:
+                job_id = data.draw(st.sampled_from(ready))
+                before = {other for other in active if plain.ready(other)}
+                plain.state[job_id] = "done"
+                freed = graph.done(job_id)
+                graph.remove(job_id)
+                assert set(freed) == {other for other in active if plain.ready(other)} - before
+        else:
+            job_id = data.draw(st.sampled_from(active))
+            plain.state[job_id] = "cancelled"
+            graph.cancelled(job_id)
+            graph.remove(job_id)
+        for job_id, state in plain.state.items():
+            if state == "active":
+                assert graph.ready(job_id) == plain.ready(job_id)
+                assert (job_id in graph.doomed) == plain.below_cancelled(job_id)
+                assert graph.level(job_id) == plain.level(job_id)
+
+
+def test_deep_chains_and_wide_fans_need_no_recursion() -> None:
+    graph = NeedsGraph()
+    chain = [f"c{number}" for number in range(5000)]
+    for before, job_id in zip([None, *chain], chain, strict=False):
+        graph.add(job_id, [before] if before else [], [before] if before else [], 3)
+    graph.add("urgent", [chain[-1]], [chain[-1]], 0)
+    assert graph.level(chain[0]) == 0
+    for number in range(2000):
+        graph.add(f"f{number}", [chain[0]], [chain[0]], 2)
+    graph.cancelled(chain[0])
+    graph.remove(chain[0])
+    assert len(graph.doomed) == 4999 + 1 + 2000
+
+
+@given(st.sets(st.one_of(st.integers(0, 999_999).map(lambda number: f"req-{number:06d}"),
+                         st.from_regex(r"\Areq-[0-9]{1,18}\Z"))))
+def test_ids_are_packed_without_loss(ids: set[str]) -> None:
+    assert set(unpack_ids(pack_ids(tuple(ids)))) == ids
+
+
+def test_what_a_job_needs_is_checked() -> None:
+    for nothing in (None, []):
+        assert parse_submission(raw_job(1, tows=nothing)).needs is None
+    assert parse_submission(raw_job(1)).needs is None
+    twice = parse_submission(raw_job(9, tows=["req-000002", "req-000001", "req-000002"]))
+    assert twice.needs == ("req-000002", "req-000001")
+    for wrong in ("req-000001", [1], ["nonsense"], {"a": 1}, [None], [["req-000001"]]):
+        with pytest.raises(BadField) as caught:
+            parse_submission(raw_job(9, tows=wrong))
+        assert caught.value.field == "tows"
+
+
+# -- in the plain world --------------------------------------------------------------------------------------
+
+
+def pipeline(world: World, first: int, stages: int = 3, **last: object) -> list[str]:
+    """Submit a chain; return its ids."""
+    ids: list[str] = []
+    for number in range(first, first + stages):
+        more = last if number == first + stages - 1 else {}
+        spec = job(number, hands=2, voyageS=5.0, cores=1.0, tows=ids[-1:], **more)
+        world.submit(spec)
+        world.run(1.0)
+        ids.append(spec.id)
+    return ids
+
+
+def test_a_chain_runs_in_its_order_and_waits_without_a_place() -> None:
+    """`World` raises if a task starts before all that its job needs is done."""
+    world = World(3, platform(), TYPES)
+    world.elect()
+    ids = pipeline(world, 1, 4)
+    assert world.leader.term.layout.switched, "only who knows that all are new hands in such a job"
+    assert [world.told[job_id] for job_id in ids[1:]] == ["pending"] * 3
+    queued, guaranteed = world.leader.term.ordered_jobs()
+    assert not {job.id for job in queued} & set(ids[1:]) and not guaranteed & set(ids[1:])
+    world.leader.silent = True
+    world.elect("b")
+    world.settle()
+    assert set(world.states().values()) == {"done"}
+
+
+def test_a_cancellation_reaches_what_depends_on_it_also_by_the_next_leader() -> None:
+    world = World(4, platform(), TYPES)
+    world.elect()
+    chains = [pipeline(world, 1, 4), pipeline(world, 11, 4)]
+    world.cancel(chains[0][0])
+    world.run(0.5)
+    assert world.told[chains[0][0]] == "cancelled"
+    term = world.leader.term
+    assert {view.state for job_id in chains[0] if (view := term.lookup(job_id)) is not None} == {"cancelled"}
+    # The next leader finishes it from the records alone.
+    world.leader.silent = True
+    world.elect("b")
+    assert {view.state for job_id in chains[0] if (view := world.leader.term.lookup(job_id)) is not None} <= {
+        "cancelled"}
+    world.run(20.0)
+    assert [world.states()[job_id] for job_id in chains[0]] == ["cancelled"] * 4
+    late = job(30, hands=1, tows=[chains[0][2]])
+    world.submit(late)
+    world.run(2.0)
+    assert world.told[late.id] == "cancelled", "who names a cancelled job is accepted, and cancelled"
+    world.settle()
+    assert [world.states()[job_id] for job_id in chains[1]] == ["done"] * 4
+
+
+def test_a_cancellation_between_two_batches_of_it_is_finished_by_the_next_leader() -> None:
+    """The records hold a cancelled job that is gone and active ones below it."""
+    world = World(6, platform(txn_ops=4), TYPES)
+    world.elect()
+    ids = pipeline(world, 1, 1)
+    for number in range(2, 12):
+        world.submit(job(number, hands=1, tows=ids))
+    world.run(5.0)
+    world.cancel(ids[0])
+    while world.told[ids[0]] != "cancelled":
+        world.step(0.01)
+    world.leader.silent = True
+    left = [key for key in world.store.data if key.startswith("driftcleat/jobs/")]
+    assert len(left) > 5, "their own records are still open"
+    world.elect("b")
+    assert {world.leader.term.lookup(f"req-{number:06d}").state  # type: ignore[union-attr]
+            for number in range(2, 12)} == {"cancelled"}
+    world.run(10.0)
+    assert not [key for key in world.store.data if key.startswith("driftcleat/jobs/")]
+
+
+def test_what_an_urgent_job_needs_is_urgent_too() -> None:
+    world = World(5, platform(), TYPES)
+    world.elect()
+    ids = pipeline(world, 1, 3, rank="critical")
+    jobs = world.leader.term.cluster.jobs
+    assert {jobs[job_id].level for job_id in ids if job_id in jobs} == {0}
+    world.leader.silent = True
+    world.elect("b")
+    jobs = world.leader.term.cluster.jobs
+    assert {jobs[job_id].level for job_id in ids if job_id in jobs} == {0}
+    world.cancel(ids[2])
+    world.run(2.0)
+    jobs = world.leader.term.cluster.jobs
+    assert {jobs[job_id].level for job_id in ids if job_id in jobs} <= {2}
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_pipelines_break_no_rule(seed: int) -> None:
+    """Random graphs, cancellations, ends and changes of leader; few changes a transaction."""
+    rng = random.Random(seed)
+    world = World(seed, platform(txn_ops=rng.choice([4, 8, 24])), TYPES)
+    world.elect()
+    world.chaos = rng.choice([0.0, 0.3])
+    for number in range(1, 41):
+        known = sorted(world.told)
+        needs = rng.sample(known, min(len(known), rng.randrange(4)))
+        world.submit(job(number, hands=rng.choice([1, 2, 3]), cores=1.0, accelerators=0.5,
+                         rig=rng.choice(["array", "array", "group"]), crew=rng.choice(["red", "blue"]),
+                         rank=rng.choice(["high", "standard", "best_effort"]), voyageS=rng.choice([2.0, 8.0]),
+                         tows=needs))
+        if known and rng.random() < 0.15:
+            world.cancel(rng.choice(known))
+        if rng.random() < 0.1:
+            world.leader.silent = rng.random() < 0.7
+            world.elect(rng.choice("abc"))
+        if world.leader.stepped_down:
+            world.elect()
+        world.run(rng.uniform(0.2, 3.0))
+        world.poll_all()
+    world.settle()
+    assert set(world.states().values()) <= {"done", "cancelled"} and world.started > 10
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,280 @@
+"""Two versions side by side: what production wrote is read and rewritten without loss, the switch, falling limits."""
+
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from driftcleat import wire
+from driftcleat.model import Job
+from driftcleat.store.records import CHUNKS, JOBS, VERSION, Layout, RentalRecord, chunk_key, load_head, load_jobs
+from driftcleat.wire import peers
+from driftcleat.wire import state as state_messages
+
+from .samples import TYPES, job, platform, raw_job, raw_settings
+from .simulation import LABELS, Simulation
+from .world import World
+
+# Written by the production version itself: see `tools/record.py`.
+RECORDED: dict[str, Any] = json.loads((Path(__file__).parent / "recorded" / "production.json").read_text())
+
+NEXT = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 35.0}
+
+
+class PlainHead(msgspec.Struct, array_like=True):
+    """The plain model of a head as production reads and rewrites it."""
+
+    spec: dict[str, Any]
+    submitted: float
+    state: str
+    cancelled_at: float
+    launch: int
+    done: str
+    places: list[tuple[str, str, int, str, float | None]]
+
+
+def items(prefix: str) -> list[state_messages.Item]:
+    """Return the recorded records under a prefix."""
+    return [state_messages.Item(msgspec.Raw(wire.encode(value)), 5, key)
+            for key, value in RECORDED["records"].items() if key.startswith(prefix)]
+
+
+def facts(found: Job) -> tuple[Any, ...]:
+    """Return all that is stored of a job."""
+    return (found.spec, found.submitted, found.state, found.launch, bytes(found.status), found.places, found.done)
+
+
+def layout(switched: bool = False) -> Layout:
+    """Return the layout of the recorded limits, with lower ones to come."""
+    made = Layout(2048, 4, RECORDED["value_bytes"], RECORDED["txn_ops"], ("north", "south"))
+    made.switched = switched
+    return made
+
+
+def test_what_production_wrote_is_read_and_written_the_same_way() -> None:
+    jobs, orphans = load_jobs(items(JOBS), items(CHUNKS))
+    assert len(jobs) == 6 and not orphans
+    ours = layout()
+    for found in jobs.values():
+        ours.take_in(found)
+        assert found.split == 0
+        head = json.loads(wire.encode(ours.head(found)))
+        written = RECORDED["records"][JOBS + found.id]
+        spec, known = dict(head[0]), dict(written[0])
+        assert {name: value for name, value in spec.items() if name in known} == known
+        assert head[1:7] == written[1:]
+        beyond = [*head[7:], *(spec[name] for name in spec if name not in known)]
+        assert all(value in (None, 0, "") for value in beyond)
+        chunks = {ours.chunk_of(found, index) for index in range(found.spec.tasks)} - {0}
+        assert chunks == {int(key.rpartition("/")[2]) for key in RECORDED["records"] if key.startswith(
+            CHUNKS + found.id + "/")}
+        for chunk in chunks:
+            key = chunk_key(found.id, chunk)
+            assert json.loads(wire.encode(ours.chunk(found, chunk))) == RECORDED["records"][key]
+
+
+def test_what_production_rewrites_loses_nothing_before_the_switch() -> None:
+    jobs, _ = load_jobs(items(JOBS), items(CHUNKS))
+    for found in jobs.values():
+        rewritten = wire.encode(wire.decode(wire.encode(layout().head(found)), PlainHead))
+        again = load_head(state_messages.Item(msgspec.Raw(rewritten), 9, JOBS + found.id))
+        whole = load_head(state_messages.Item(msgspec.Raw(wire.encode(layout().head(found))), 9, JOBS + found.id))
+        assert facts(again) == facts(whole)
+
+
+def test_messages_of_both_versions_are_understood() -> None:
+    for message in RECORDED["messages"]:
+        raw = wire.encode(message)
+        known: Any = wire.decode(raw, peers.PeerMessage)  # type: ignore[arg-type]
+        assert getattr(known, "data_version", 1) == 1, "it has not said that it is new"
+        # Ours has the same tag and begins with the same elements: what production does not know comes behind.
+        assert json.loads(wire.encode(known))[:len(message)] == message
+    assert json.loads(wire.encode(peers.Ping("a", 2))) == ["ping", "a", 2]
+
+
+def test_settings_name_the_limits_to_come() -> None:
+    today = platform()
+    assert (today.value_bytes, today.txn_ops, today.first_value_bytes, today.first_txn_ops) == (8192, 24, 8192, 24)
+    coming = platform(next=NEXT)
+    assert (coming.value_bytes, coming.txn_ops, coming.write_rps, coming.state_rps) == (2048, 4, 35.0, 200.0)
+    assert (coming.first_value_bytes, coming.first_txn_ops) == (8192, 24)
+    assert platform(next={"value_kb": 99.0}).value_bytes == 8192, "a higher one is no reason to write more"
+    assert "next" not in raw_settings()["deployment"]["state"]
+
+
+def test_a_move_that_ends_in_the_middle_leaves_the_old_records_valid() -> None:
+    """Chunks of another split than the head names are garbage, of whatever number."""
+    jobs, _ = load_jobs(items(JOBS), items(CHUNKS))
+    big = jobs["req-000003"]
+    new = layout(switched=True)
+    split = new.own_split(big)
+    assert 1 < split < 50 and new.must_move(big)
+    half = [state_messages.Item(msgspec.Raw(wire.encode(new.chunk_in(big, split, number))), 7,
+                                chunk_key(big.id, number, split)) for number in range(1, 4)]
+    again, orphans = load_jobs(items(JOBS), [*items(CHUNKS), *half])
+    assert facts(again[big.id]) == facts(big)
+    assert orphans == [item.key for item in half]
+    whole = [state_messages.Item(msgspec.Raw(wire.encode(new.chunk_in(big, split, number))), 7,
+                                 chunk_key(big.id, number, split)) for number in range(1, -(-240 // split))]
+    moved = big.copy()
+    moved.split = split
+    head = state_messages.Item(msgspec.Raw(wire.encode(new.head(moved))), 8, JOBS + big.id)
+    assert len(bytes(head.value)) <= 2048 and all(len(bytes(item.value)) <= 2048 for item in whole)
+    after, orphans = load_jobs([head], [*items(CHUNKS), *whole])
+    assert facts(after[big.id]) == facts(big)
+    assert {item.key for item in whole}.isdisjoint(orphans) and set(after[big.id].chunk_versions.values()) == {7}
+
+
+def test_a_cancellation_of_a_job_that_is_not_moved_yet_goes_first() -> None:
+    world = World(3, platform(next=NEXT, value_kb=16.0), TYPES)
+    world.elect(old=True)
+    for number in range(1, 6):
+        world.submit(job(number, hands=110, cores=0.1, accelerators=0.0, memGb=0.1, voyageS=300.0))
+    world.run(25.0)
+    term = world.elect("b").term
+    world.run(6.0)
+    term.latch_wanted = True
+    world.step()
+    world.store.lower()
+    assert term.layout.switched and len(term.unmoved) > 1
+    last = max(term.unmoved)
+    world.cancel(last)
+    batches = term.counters.batches
+    while world.told[last] != "cancelled":
+        world.step(0.02)
+    chunks = -(-110 // term.layout.own_split(term.cluster.jobs[last]))
+    assert term.counters.batches - batches <= 2 * chunks + 4, "its move goes before the others'"
+    world.run(world.platform.cancel_s)
+    assert not any(task.job.id == last for _, task in world.on_machines())
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_versions_take_turns_and_limits_fall(seed: int) -> None:
+    """Old and new lead in turn and rewrite each other's records; the switch comes at any moment, limits fall at any
+    later one, and a leader may end between any two transactions."""
+    rng = random.Random(seed)
+    world = World(seed, platform(next=NEXT, value_kb=rng.choice([4.0, 8.0, 16.0])), TYPES)
+    world.elect(old=rng.random() < 0.7)
+    world.chaos = rng.choice([0.0, 0.2])
+    switch_at, fall_after = rng.randrange(4, 20), rng.randrange(0, 8)
+    switched_at = None
+    for step in range(30):
+        number = step + 1
+        needs = rng.sample(sorted(world.told), min(len(world.told), 2)) if switched_at is not None else []
+        world.submit(job(number, hands=rng.choice([1, 3, 30, 110, 130]), cores=0.1, accelerators=0.0, memGb=0.1,
+                         rig=rng.choice(["array", "array", "daemon", "group"]) if number % 3 else "array",
+                         crew=rng.choice(["red", "blue"]), voyageS=rng.choice([3.0, 20.0, 60.0]), tows=needs))
+        if world.told and rng.random() < 0.2:
+            world.cancel(rng.choice(sorted(world.told)))
+        new = step >= switch_at
+        if rng.random() < 0.25 or world.leader.stepped_down or (new and world.leader.old):
+            world.leader.silent = rng.random() < 0.7
+            world.elect(rng.choice("abc"), old=not new and rng.random() < 0.5)
+        if new:
+            world.leader.term.latch_wanted = True
+        if switched_at is None and VERSION in world.store.data:
+            switched_at = step
+        if switched_at is not None and step >= switched_at + fall_after:
+            world.store.lower()
+        world.run(rng.choice([0.05, 0.3, 2.0, 6.0]))
+        world.poll_all()
+    world.store.lower()
+    world.settle(1200.0)
+    assert set(world.states().values()) <= {"done", "cancelled"}, world.states()
+    assert VERSION in world.store.data and world.started > 20
+    assert not world.leader.term.unmoved
+
+
+# -- whole controllers ---------------------------------------------------------------------------------------
+
+
+def big(number: int, **more: Any) -> dict[str, Any]:
+    """Return an array that takes several records."""
+    return raw_job(number, hands=100, cores=0.1, accelerators=0.0, memGb=0.1, voyageS=60.0, **more)
+
+
+async def upgraded_one_by_one(sim: Simulation) -> None:
+    """Each controller ends and comes back new; the last one makes the switch possible."""
+    for label in LABELS:
+        assert VERSION not in sim.store.data, "not before every controller is new"
+        sim.end(label)
+        await sim.rest(2.0)
+        sim.old.discard(label)
+        sim.start(label)
+        await sim.rest(5.0)
+
+
+def test_the_switch_comes_with_the_last_controller_and_limits_may_fall_at_once() -> None:
+    async def story(sim: Simulation) -> None:
+        for number in range(1, 5):
+            sim.hand_in(big(number))
+        await sim.rest(12.0)
+        await upgraded_one_by_one(sim)
+        await sim.until(lambda: VERSION in sim.store.data, 10.0)
+        sim.lower_limits()
+        sim.call_off("req-000002")
+        await sim.settle_down()
+        assert sim.state.refused == 0
+    sim = Simulation(2, value_kb=16.0, next=NEXT)
+    sim.old.update(LABELS)
+    sim.play(story)
+
+
+def test_limits_that_fall_before_the_switch_prove_that_all_are_new() -> None:
+    """A refusal for size ends no term, turns in no circle and loses nothing."""
+    async def story(sim: Simulation) -> None:
+        leader = sim.lead()
+        assert leader is not None and VERSION not in sim.store.data
+        token = sim.controllers[leader].election.token
+        sim.lower_limits()
+        # Each task on a machine of its own: more than the lower limit holds, in one record of the first version.
+        sim.hand_in(raw_job(1, hands=75, cores=16.0, accelerators=0.0, voyageS=60.0))
+        for _ in range(75):
+            sim.boot(RentalRecord("big", "north", False, 1, 0.0))
+        await sim.until(lambda: VERSION in sim.store.data, 60.0)
+        sim.hand_in(big(4))
+        await sim.settle_down()
+        assert sim.controllers[leader].election.token == token and 1 <= sim.state.refused < 5
+        assert set(sim.told.values()) == {"done"}
+    sim = Simulation(3, value_kb=16.0, next=NEXT)
+    sim.old.update(LABELS)
+    sim.play(story)
+
+
+def test_what_a_submission_needs_is_answered_at_any_controller() -> None:
+    async def story(sim: Simulation) -> None:
+        sim.hand_in(raw_job(1, voyageS=40.0, hands=1))
+        sim.hand_in(raw_job(2, rig="daemon", hands=1, voyageS=0.0))
+        await sim.rest(3.0)
+        for label in LABELS:
+            too_many = [f"req-{number:018d}" for number in range(10**17, 10**17 + 9 * 10**15, 10**13)]
+            for needs, expected in ((["req-000099"], 422), (["req-000002"], 422), (["req-000050"], 422), ("x", 400),
+                                    (["x"], 400), (too_many, 400)):
+                status, _ = await sim.ask("POST", "/v1/jobs", raw_job(50, tows=needs), label)
+                assert status == expected, (label, needs[:3])
+            assert (await sim.ask("GET", "/v1/jobs/req-000050", label=label))[0] == 404
+        sim.hand_in(raw_job(3, tows=["req-000001"], hands=1))
+        await sim.rest(1.0)
+        sim.hand_in(raw_job(4, tows=["req-000003", "req-000003"], hands=1))
+        await sim.rest(1.0)
+        # A repeat is known by its id, whatever else it says.
+        assert (await sim.ask("POST", "/v1/jobs", raw_job(4, tows=["req-000099"])))[0] == 200
+        leader = sim.lead()
+        assert leader is not None
+        follower = next(label for label in LABELS if label != leader)
+        # What hangs below a cancelled job is called cancelled by whoever answers, from the records alone.
+        sim.controllers[leader].term._take_doomed = lambda batch: None  # type: ignore[union-attr,method-assign]
+        await sim.call_off("req-000001")
+        sim.part(follower)
+        assert await sim.poll("req-000004", follower) == 200 and sim.told["req-000004"] == "cancelled"
+        assert await sim.poll("req-000003", leader) == 200 and sim.told["req-000003"] == "cancelled"
+        sim.state.down_for.add("all")
+        await sim.rest(3.0)
+        status, _ = await sim.ask("POST", "/v1/jobs", raw_job(60, tows=["req-000001"]), leader)
+        assert status == 503
+        del sim.controllers[leader].term._take_doomed  # type: ignore[union-attr]
+        await sim.settle_down()
+    Simulation(4).play(story)
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
     JOBS,
     LEADER,
     RENTALS,
+    VERSION,
     BatchMark,
     EncodedBatch,
     Layout,
@@ -37,6 +38,15 @@
     """One of the protocol's rules does not hold."""
 
 
+def as_production_writes(body: bytes) -> bytes:
+    """Return a transaction as the production version would have sent it: heads without the trailing fields."""
+    raw = json.loads(body)
+    for change in raw["then"]:
+        if change.get("put", "").startswith(JOBS):
+            del change["v"][7:]
+    return json.dumps(raw, separators=(",", ":")).encode()
+
+
 class PlainStore:
     """The state service as a dictionary: versions, conditions, limits."""
 
@@ -44,19 +54,30 @@
         self.platform = platform
         self.data: dict[str, tuple[Any, int]] = {}
         self.revision = 0
+        # Today's limits, until `lower`.
+        self.value_bytes, self.txn_ops = platform.first_value_bytes, platform.first_txn_ops
+
+    def lower(self) -> None:
+        """The limits fall to those that the settings have announced; what is stored stays readable."""
+        self.value_bytes, self.txn_ops = self.platform.value_bytes, self.platform.txn_ops
+
+    def takes(self, raw: dict[str, Any]) -> bool:
+        """Whether a transaction keeps to the limits."""
+        return len(raw["then"]) <= self.txn_ops and all(
+            len(json.dumps(change["v"], separators=(",", ":"))) <= self.value_bytes
+            for change in raw["then"] if "put" in change)
 
     def txn(self, body: bytes) -> int | None:
         """Carry out a transaction as it came over the wire; None if a condition fails."""
         assert len(body) <= 64 * 1024
         raw = json.loads(body)
-        assert len(raw["then"]) <= self.platform.txn_ops and len(raw["if"]) <= 4 * self.platform.txn_ops
+        assert self.takes(raw) and len(raw["if"]) <= 4 * self.txn_ops
         for condition in raw["if"]:
             if self.data.get(condition["key"], (None, 0))[1] != condition["entry"]:
                 return None
         self.revision += 1
         for change in raw["then"]:
             if "put" in change:
-                assert len(json.dumps(change["v"], separators=(",", ":"))) <= self.platform.value_bytes
                 self.data[change["put"]] = (change["v"], self.revision)
             else:
                 self.data.pop(change["remove"], None)
@@ -220,6 +241,8 @@
     silent: bool = False
     in_flight: tuple[Any, EncodedBatch] | None = None
     stepped_down: bool = False
+    # A leader of the production version, which drops what it does not know from the records that it rewrites.
+    old: bool = False
 
 
 @dataclass(order=True)
@@ -244,10 +267,10 @@
         self.finished: set[tuple[str, int]] = set()
         self.told: dict[str, str] = {}
         self.cancelled_at: dict[str, float] = {}
+        self.wanted_off: set[str] = set()
         self.mail: list[Message] = []
         self.mail_number = 0
         self.leaders: list[Leader] = []
-        self.layout = Layout(platform.value_bytes, platform.txn_ops)
         self.rented = 0
         self.rentals_done: dict[str, tuple[str, ...]] = {}
         self.chaos = 0.0
@@ -321,19 +344,25 @@
 
     # -- leaders ------------------------------------------------------------------------------------------
 
-    def elect(self, label: str = "a") -> Leader:
+    def elect(self, label: str = "a", old: bool = False) -> Leader:
         """Somebody wins the key and reads all records."""
         token = self.store.put_leader(label)
+        site = self.platform
+        layout = Layout(site.value_bytes, site.txn_ops, site.first_value_bytes, site.first_txn_ops, site.zones)
+        layout.switched = VERSION in self.store.data
+        assert not (old and layout.switched), "there is no way back"
         jobs, orphans = load_jobs(self.store.items(JOBS), self.store.items(CHUNKS))
-        cluster = Cluster(token, jobs, dict(self.types), self.now, self.platform.lease_s)
-        term = Term(self.platform, Tuning(), cluster, self.layout, random.Random(self.rng.random()),
+        over = {need for job in jobs.values() for need in job.spec.needs or () if need not in jobs}
+        ended = {need: str(self.store.data[ENDED + need][0][0]) for need in over if ENDED + need in self.store.data}
+        cluster = Cluster(token, jobs, dict(self.types), self.now, self.platform.lease_s, ended)
+        term = Term(self.platform, Tuning(), cluster, layout, random.Random(self.rng.random()),
                     lambda: self.now, lambda: self.now)
         term.garbage.extend(orphans)
         for item in self.store.items(RENTALS):
             name = item.key[len(RENTALS):]
             term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
         mark = self.store.data.get(BATCH, (None, 0))
-        leader = Leader(term, mark[1])
+        leader = Leader(term, mark[1], old=old)
         self.leaders.append(leader)
         return leader
 
@@ -355,8 +384,11 @@
                     call()
                 return
             leader.number += 1
-            leader.in_flight = (batch, encode_batch(batch, self.layout, leader.term.cluster.token, leader.number,
-                                                    leader.mark_version))
+            encoded = encode_batch(batch, leader.term.layout, leader.term.cluster.token, leader.number,
+                                   leader.mark_version)
+            if leader.old:
+                encoded.body = as_production_writes(encoded.body)
+            leader.in_flight = (batch, encoded)
         batch, encoded = leader.in_flight
         if self.rng.random() < self.chaos * 0.1:
             # Lost on the way there; a copy may still turn up much later.
@@ -439,7 +471,10 @@
         def answered(view: JobView | None) -> None:
             if view is not None:
                 self.tell(view)
-        leader.term.submissions.append(Ticket(answered, spec, spec.id))
+        # What the users' interface finds out: the final states of needed jobs that are over.
+        ended = {need: str(self.store.data[ENDED + need][0][0]) for need in spec.needs or ()
+                 if ENDED + need in self.store.data}
+        leader.term.submissions.append(Ticket(answered, spec, spec.id, ended))
 
     def cancel(self, job_id: str) -> None:
         """A user cancels a job."""
@@ -451,6 +486,7 @@
                 self.tell(view)
                 if view.state == "cancelled":
                     self.cancelled_at.setdefault(job_id, self.now)
+        self.wanted_off.add(job_id)
         self.leader.term.cancels.append(Ticket(answered, None, job_id))
 
     def tell(self, view: JobView) -> None:
@@ -462,6 +498,11 @@
             missing = [index for index in range(self.specs[view.id].tasks) if (view.id, index) not in self.finished]
             if missing:
                 raise RuleBroken(f"not_done: {view.id} lacks {missing}")
+        at = self.cancelled_before(view.id)
+        if view.state in ("pending", "running") and at is not None and self.now > at + self.platform.cancel_s:
+            raise RuleBroken(f"orphaned: {view.id} is called {view.state}")
+        if view.state == "cancelled" and at is None and view.id not in self.wanted_off:
+            raise RuleBroken(f"went_back: {view.id} was cancelled by nobody")
         self.told[view.id] = view.state
 
     # -- the rules ----------------------------------------------------------------------------------------
@@ -493,8 +534,23 @@
         gpus = job.gpus + sum(other.job.gpus for _, other in others if other.job.team == job.team)
         if team.gpus_max > 0 and gpus > team.gpus_max + 1e-6:
             raise RuleBroken(f"quota: {job.team} uses {gpus}")
+        for need in job.needs or ():
+            if any((need, index) not in self.finished for index in range(self.specs[need].tasks)):
+                raise RuleBroken(f"too_early: {job.id} starts before {need} is done")
         self.check_cancelled(job.id)
 
+    def cancelled_before(self, job_id: str) -> float | None:
+        """Return when a user was first told that this job, or any that it needs, is cancelled."""
+        seen, asked, at = set(), [job_id], None
+        while asked:
+            current = asked.pop()
+            if current not in seen:
+                seen.add(current)
+                told_at = self.cancelled_at.get(current)
+                at = told_at if at is None or (told_at is not None and told_at < at) else at
+                asked.extend(self.specs[current].needs or ())
+        return at
+
     def check_cancelled(self, job_id: str) -> None:
         """A task of this job is on a machine now."""
         at = self.cancelled_at.get(job_id)
--- /dev/null
+++ b/tools/mixed.py
@@ -0,0 +1,139 @@
+"""Runs both real versions side by side on loopback, against the tests' stand-ins: `python -m tools.mixed`.
+
+Three processes of the version that `deploy/service.toml` names as `production` serve; one after the other ends and
+comes back as this checkout. Needs the repository's history, so it is no part of CI. Fails if a job is not done.
+"""
+
+import asyncio
+import json
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import click
+
+from tests.samples import job, raw_job
+from tests.standins import Site, until
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def toml(value: Any) -> str:
+    """Return a value as TOML, tables inline."""
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{key} = {toml(other)}" for key, other in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(toml, value)) + "]"
+    return json.dumps(value)
+
+
+def checkout(commit: str, into: Path) -> None:
+    """Lay a version's sources into a folder."""
+    archive = subprocess.run(["git", "-C", str(ROOT), "archive", commit], check=True, capture_output=True).stdout
+    subprocess.run(["tar", "-x", "-C", str(into)], input=archive, check=True)
+
+
+class Processes:
+    """The controllers' processes."""
+
+    def __init__(self, site: Site, folder: Path) -> None:
+        self.site, self.folder = site, folder
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, label: str, sources: Path) -> None:
+        """Start a controller of some version."""
+        config = self.folder / f"{label}.toml"
+        raw = self.site._raw(label)
+        raw["deployment"]["state"]["next"] = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 400.0}
+        config.write_text("".join(f"{key} = {toml(value)}\n" for key, value in raw.items()))
+        # Errors go to our own standard error; nothing else is said.
+        self.running[label] = subprocess.Popen([sys.executable, "run.py", "--config", str(config)], cwd=sources,
+                                               env={"LOG_LEVEL": "error", "PATH": "/usr/bin:/bin"})
+        self.site.world.fronts[label] = self.site.platforms[label].bind
+
+    def end(self, label: str) -> None:
+        """End a controller without a word."""
+        self.site.world.fronts.pop(label, None)
+        process = self.running.pop(label)
+        process.kill()
+        process.wait()
+
+
+async def accepted(site: Site, number: int, **changes: Any) -> str:
+    """Submit a job until it is accepted."""
+    raw = raw_job(number, accelerators=0.0, cores=0.2, memGb=0.1, **changes)
+    site.world.specs[raw["nameId"]] = job(number, **raw)
+
+    async def once() -> bool:
+        for label in list(site.world.fronts):
+            try:
+                if (await site.call(label, "POST", "/v1/jobs", raw))[0] in (200, 201):
+                    return True
+            except OSError:
+                continue
+        return False
+    await until(once, "accepted")
+    return str(raw["nameId"])
+
+
+async def ended(site: Site, job_id: str, state: str) -> None:
+    """Poll until a job has a final state."""
+    async def once() -> bool:
+        for label in list(site.world.fronts):
+            try:
+                status, answer, _ = await site.call(label, "GET", f"/v1/jobs/{job_id}")
+            except OSError:
+                continue
+            if status == 200:
+                return bool(answer["bearing"] == state)
+        return False
+    await until(once, f"{job_id} {state}", 120.0)
+
+
+async def play(folder: Path, production: Path) -> None:
+    """Upgrade a site with work under way."""
+    class Bare(Site):
+        def start(self, label: str) -> None:
+            processes.start(label, production)
+
+    site = Bare()
+    processes = Processes(site, folder)
+    try:
+        async with site:
+            jobs = [await accepted(site, number, hands=90, voyageS=6.0) for number in range(1, 4)]
+            await until(lambda: site.world.on_machines(), "work has begun")
+            for turn, label in enumerate("abc"):
+                assert "driftcleat/version" not in site.store.store.data
+                processes.end(label)
+                jobs.append(await accepted(site, 10 + turn, hands=60, voyageS=4.0))
+                processes.start(label, ROOT)
+                await asyncio.sleep(4.0)
+                jobs.append(await accepted(site, 20 + turn, hands=2, rig="group", voyageS=3.0))
+            await until(lambda: "driftcleat/version" in site.store.store.data, "the switch")
+            jobs.append(await accepted(site, 30, hands=2, voyageS=1.0, tows=jobs[:2]))
+            for job_id in jobs:
+                await ended(site, job_id, "done")
+            for label in list(processes.running):
+                processes.end(label)
+    finally:
+        for process in processes.running.values():
+            process.kill()
+    click.echo(f"{len(jobs)} jobs done across the upgrade")
+
+
+@click.command()
+def main() -> None:
+    """Play the upgrade once."""
+    commit = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["production"]
+    with tempfile.TemporaryDirectory() as folder:
+        production = Path(folder) / "production"
+        production.mkdir()
+        checkout(commit, production)
+        asyncio.run(play(Path(folder), production))
+
+
+if __name__ == "__main__":
+    main()
