--- a/tools/mixed.py
+++ b/tools/mixed.py
@@ -1,7 +1,7 @@
 """Runs both real versions side by side on loopback, against the tests' stand-ins: `python -m tools.mixed`.
 
 Three processes of the version that `deploy/service.toml` names as `production` serve; one after the other ends and
-comes back as this checkout. Needs the repository's history, so it is no part of CI. Fails if a job is not done.
+comes back as the newest commit. Needs the repository's history, so it is no part of CI. Fails if a job is not done.
 """
 
 import asyncio
@@ -93,7 +93,7 @@
     await until(once, f"{job_id} {state}", 120.0)
 
 
-async def play(folder: Path, production: Path) -> None:
+async def play(folder: Path, production: Path, newest: Path) -> None:
     """Upgrade a site with work under way."""
     class Bare(Site):
         def start(self, label: str) -> None:
@@ -109,7 +109,7 @@
                 assert "driftcleat/version" not in site.store.store.data
                 processes.end(label)
                 jobs.append(await accepted(site, 10 + turn, hands=60, voyageS=4.0))
-                processes.start(label, ROOT)
+                processes.start(label, newest)
                 await asyncio.sleep(4.0)
                 jobs.append(await accepted(site, 20 + turn, hands=2, rig="group", voyageS=3.0))
             await until(lambda: "driftcleat/version" in site.store.store.data, "the switch")
@@ -129,10 +129,12 @@
     """Play the upgrade once."""
     commit = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["production"]
     with tempfile.TemporaryDirectory() as folder:
-        production = Path(folder) / "production"
-        production.mkdir()
-        checkout(commit, production)
-        asyncio.run(play(Path(folder), production))
+        sources = {name: Path(folder) / name for name in (commit, "HEAD")}
+        for name, path in sources.items():
+            # Not our own folder: a build may have left an older package in it.
+            path.mkdir()
+            checkout(name, path)
+        asyncio.run(play(Path(folder), sources[commit], sources["HEAD"]))
 
 
 if __name__ == "__main__":
