--- a/driftcleat/model/batch.py
+++ b/driftcleat/model/batch.py
@@ -9,15 +9,6 @@
 ENTRY_BYTES = 110
 
 
-def _head_ops(job: Job, ends: bool = False) -> int:
-    """Return the changes that a job's head may take.
-
-    A job that ends takes two: its final state and its record's removal. One with a queued task cannot end in
-    the batch that opens it, unless it is cancelled.
-    """
-    return 2 if ends or job.state is JobState.CANCELLED or job.queued == 0 else 1
-
-
 class Batch:
     """Collects changes until the store's limits are reached. Nothing in it is visible before the commit."""
 
@@ -29,7 +20,10 @@
         self.created: set[str] = set()
         # What the jobs created here need and is not done yet.
         self.unmet: dict[str, set[str]] = {}
+        # Every job that changes, and those of them whose head is written: a task's change may lie in a chunk alone.
         self.heads: set[str] = set()
+        self.head_written: set[str] = set()
+        self._charged: dict[str, int] = {}
         self.chunks: dict[str, set[int]] = {}
         self.moves: list[tuple[str, int, Place | None, Place | None]] = []
         self.extra_puts: dict[str, object] = {}
@@ -59,37 +53,58 @@
         return self.jobs.get(job_id) or self.committed.get(job_id)
 
     def room_at(self, job: Job, index: int) -> bool:
-        """Tell whether a change of this task still fits, and of the rest of its gang, which may have to follow."""
+        """Tell whether a task's leaving its place still fits, and the stops of its gang, which may have to follow."""
+        if self.frozen(job):
+            return False
         indices = [index, *job.places] if job.is_gang else [index]
-        chunks = {self.chunk_of(job, other) for other in indices} - {0} | self.chunks.get(job.id, set())
-        return self.room(job, 1, len(chunks))
+        chunks = {self.chunk_of(job, other) for other in indices}
+        head = job.is_gang or 0 in chunks or job.id in self.head_written
+        ops = head + len((chunks - {0}) | self.chunks.get(job.id, set()))
+        if len(job.places) == 1 and (job.state is JobState.CANCELLED or job.done + 1 == job.spec.tasks):
+            ops = max(ops, 2)
+        return ops - self._charged.get(job.id, 0) <= self.ops_left and self._cost(job, 1) <= self.size_left
 
     def room(self, job: Job, entries: int = 1, chunks: int = 0, ends: bool = False) -> bool:
-        """Tell whether a change of that many tasks of a job still fits; `ends` if it may end the job.
+        """Tell whether a change of a job's head and of that many tasks still fits; `ends` if it may end the job.
 
         `chunks` counts the records beside the head that it opens or has opened in this batch.
         """
         if self.frozen(job):
             return False
-        cost = ops = 0
-        if job.id not in self.heads:
-            cost, ops = HEAD_BYTES + ENTRY_BYTES * min(len(job.places), 64), _head_ops(job, ends)
-        ops += max(0, chunks - len(self.chunks.get(job.id, ())))
-        return ops <= self.ops_left and cost + entries * ENTRY_BYTES <= self.size_left
+        ops = max(1 + max(chunks, len(self.chunks.get(job.id, ()))), 2 if ends else 0)
+        return ops - self._charged.get(job.id, 0) <= self.ops_left and self._cost(job, entries) <= self.size_left
+
+    def _cost(self, job: Job, entries: int) -> int:
+        """Return the bytes that a change of some tasks may add."""
+        head = 0 if job.id in self.heads else HEAD_BYTES + ENTRY_BYTES * min(len(job.places), 64)
+        return head + entries * ENTRY_BYTES
+
+    def _charge(self, job_id: str) -> None:
+        """Count the changes that a job takes as it stands: its records, or its final state and their removal."""
+        job = self.jobs[job_id]
+        if job.state in (JobState.DONE, JobState.GONE):
+            ops = 1 if job_id in self.created else 2
+        else:
+            ops = (job_id in self.head_written) + len(self.chunks.get(job_id, ()))
+        self.ops_left -= ops - self._charged.get(job_id, 0)
+        self._charged[job_id] = ops
 
     def room_extra(self, ops: int = 1) -> bool:
         """Tell whether that many small keys still fit."""
         return self.ops_left >= ops and self.size_left >= ops * HEAD_BYTES
 
-    def _open(self, job_id: str, ends: bool = False) -> Job:
+    def _open(self, job_id: str, head: bool = True) -> Job:
+        """Return a job's copy, to be changed; `head` if its head must be written for that."""
         job = self.jobs.get(job_id)
         if job is None:
             job = self.committed[job_id].copy()
             self.jobs[job_id] = job
         if job_id not in self.heads:
+            self.size_left -= self._cost(job, 0)
             self.heads.add(job_id)
-            self.ops_left -= _head_ops(job, ends)
-            self.size_left -= HEAD_BYTES + ENTRY_BYTES * min(len(job.places), 64)
+        if head:
+            self.head_written.add(job_id)
+        self._charge(job_id)
         return job
 
     def create(self, job: Job, unmet: set[str] | None = None) -> None:
@@ -101,7 +116,7 @@
 
     def cancel(self, job_id: str, wall: float) -> None:
         """Cancel a job."""
-        job = self._open(job_id, ends=True)
+        job = self._open(job_id)
         job.cancelled_at = wall
         change_job(job, JobState.CANCELLED)
         self.settle(job_id)
@@ -114,17 +129,14 @@
 
     def move(self, job_id: str, index: int, to: TaskState, place: Place | None = None) -> None:
         """Change a task's state."""
-        job = self._open(job_id)
+        chunk = self.chunk_of(self.jobs.get(job_id) or self.committed[job_id], index)
+        if chunk > 0:
+            self.chunks.setdefault(job_id, set()).add(chunk)
+        job = self._open(job_id, head=chunk == 0)
         old = job.places.get(index)
         change_task(job, index, to, place)
         self.moves.append((job_id, index, old, place if to is TaskState.PLACED else None))
         self.size_left -= ENTRY_BYTES
-        chunk = self.chunk_of(job, index)
-        if chunk > 0:
-            chunks = self.chunks.setdefault(job_id, set())
-            if chunk not in chunks:
-                chunks.add(chunk)
-                self.ops_left -= 1
 
     def relay(self, job_id: str, split: int, versions: dict[int, int]) -> None:
         """Write a job's head in another split, whose chunks are written already, or in this batch."""
@@ -148,6 +160,7 @@
             change_job(job, JobState.DONE)
         elif job.state is JobState.CANCELLED and not job.places:
             change_job(job, JobState.GONE)
+        self._charge(job_id)
 
     def put(self, key: str, value: object) -> None:
         """Write a small key that is not a job's."""
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -357,7 +357,8 @@
         """Make a batch that the store has taken visible."""
         for job_id in batch.heads:
             job = batch.jobs[job_id]
-            job.version = revision
+            if job_id in batch.head_written:
+                job.version = revision
             for chunk in batch.chunks.get(job_id, ()):
                 job.chunk_versions[chunk] = revision
             self.jobs[job_id] = job
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -285,7 +285,8 @@
                 changes.append(messages.Remove(JOBS + job_id))
             garbage.extend(chunk_key(job_id, chunk, job.split) for chunk in job.chunk_versions)
             continue
-        changes.append(messages.Put(JOBS + job_id, layout.head(job)))
+        if job_id in batch.head_written:
+            changes.append(messages.Put(JOBS + job_id, layout.head(job)))
         for chunk in sorted(batch.chunks.get(job_id, ())):
             key = chunk_key(job_id, chunk, job.split)
             conditions.append(messages.Condition(key, job.chunk_versions.get(chunk, 0)))
