--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -518,7 +518,7 @@
             raise RuleBroken(f"went_back: {job_id} {before} -> {bearing}")
         above = self.cancelled_before(job_id)
         if bearing == "cancelled":
-            if job_id not in self.cancelled and above is None and not self._asked_above(job_id):
+            if above is None and self.cancelled.isdisjoint(self.with_needs(job_id)):
                 raise RuleBroken(f"went_back: {job_id} cancelled by nobody")
             self.cancelled_at.setdefault(job_id, self.time())
         elif bearing != "done" and above is not None and self.time() > above + self.platform.cancel_s:
@@ -531,18 +531,6 @@
 
     cancelled: set[str]
 
-    def _asked_above(self, job_id: str) -> bool:
-        """Whether some user has asked to cancel a job that this one needs, directly or through others."""
-        seen, asked = set(), [job_id]
-        while asked:
-            current = asked.pop()
-            if current in self.cancelled:
-                return True
-            if current not in seen:
-                seen.add(current)
-                asked.extend(self.specs[current].needs or ())
-        return False
-
     async def poll(self, job_id: str, label: str | None = None) -> int:
         """A user asks for a job once; return the status."""
         status, answer = await self.ask("GET", f"/v1/jobs/{job_id}", label=label)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -44,6 +44,14 @@
     return str(await sim.until(lambda: label if (label := sim.lead()) not in (None, *before) else None))
 
 
+async def hand_over(sim: Simulation) -> str:
+    """The leader ends and another leads; return the one that ended."""
+    old = str(sim.lead())
+    sim.end(old)
+    await next_leader(sim, old)
+    return old
+
+
 async def gone_in_time(sim: Simulation, *job_ids: str) -> None:
     """All tasks of cancelled jobs are gone when the time of their cancellations is up; `Simulation` watches, too."""
     for job_id in job_ids:
@@ -368,9 +376,7 @@
     unreached.cut = True
     for worker in deaf:
         worker.deaf = True
-    old = sim.lead()
-    sim.end(str(old))
-    await next_leader(sim, old)
+    await hand_over(sim)
     await sim.rest(4.0)
     unreached.cut = False
     for worker in deaf:
@@ -421,10 +427,7 @@
     starts = sim.started
     for _ in range(3):
         await sim.rest(11.0)
-        old = sim.lead()
-        sim.end(str(old))
-        await next_leader(sim, old)
-        sim.start(str(old))
+        sim.start(await hand_over(sim))
     await sim.settle_down()
     assert sim.started == starts, "no task that was done started again"
     assert set(sim.told.values()) == {"done"}
@@ -448,9 +451,7 @@
             worker.gone = True
             worker.tasks.clear()
     assert sim.on_machines()
-    old = sim.lead()
-    sim.end(str(old))
-    await next_leader(sim, old)
+    await hand_over(sim)
     await sim.rest(25.0)
     sim.boot(RentalRecord("big", "south" if zone == "north" else "north", False, 1, 0.0))
     await sim.rest(20.0)
@@ -502,10 +503,7 @@
     for _ in range(3):
         # What a leader reads must be what the one before it had committed.
         await sim.rest(13.0)
-        old = sim.lead()
-        sim.end(str(old))
-        await next_leader(sim, old)
-        sim.start(str(old))
+        sim.start(await hand_over(sim))
     await sim.settle_down()
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -539,17 +539,20 @@
                 raise RuleBroken(f"too_early: {job.id} starts before {need} is done")
         self.check_cancelled(job.id)
 
-    def cancelled_before(self, job_id: str) -> float | None:
-        """Return when a user was first told that this job, or any that it needs, is cancelled."""
-        seen, asked, at = set(), [job_id], None
+    def with_needs(self, job_id: str) -> set[str]:
+        """Return a job and all that it needs, directly or through others."""
+        seen, asked = set(), [job_id]
         while asked:
             current = asked.pop()
             if current not in seen:
                 seen.add(current)
-                told_at = self.cancelled_at.get(current)
-                at = told_at if at is None or (told_at is not None and told_at < at) else at
                 asked.extend(self.specs[current].needs or ())
-        return at
+        return seen
+
+    def cancelled_before(self, job_id: str) -> float | None:
+        """Return when a user was first told that this job, or any that it needs, is cancelled."""
+        return min((self.cancelled_at[other] for other in self.with_needs(job_id) if other in self.cancelled_at),
+                   default=None)
 
     def check_cancelled(self, job_id: str) -> None:
         """A task of this job is on a machine now."""
