--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Protocol
 
@@ -29,6 +30,7 @@
     parse_submission,
 )
 
+from .deadline import Deadline
 from .http import Answer
 
 log = logging.getLogger(__name__)
@@ -37,6 +39,11 @@
 KEPT_FINALS = 5000
 # Records that are read at the most to say how a job stands that waits for others.
 MOST_READS = 24
+# The part of a request's time in which the leader answers one that was passed on to it.
+FORWARDED_SHARE = 0.9
+# The same for a question. A follower waits a little longer for the leader, and reads the records in what is left.
+FORWARDED_POLL_SHARE = 0.6
+LEADER_POLL_SHARE = 0.7
 
 
 class Leadership(Protocol):
@@ -57,8 +64,9 @@
     """Answers users."""
 
     def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, peers: PeerClient,
-                 leadership: Leadership) -> None:
+                 leadership: Leadership, clock: Callable[[], float]) -> None:
         self.platform, self.tuning, self.store, self.peers, self.lead = platform, tuning, store, peers, leadership
+        self.clock = clock
         self.retry_s = max(1, round(tuning.retry * platform.report_s))
         # Users wait 2 to 5 s for a response: what cannot have its turn at the store soon is refused at once.
         self.most_wait_s = platform.report_s / 6
@@ -74,11 +82,29 @@
         return replace(self.unavailable(why), close=True)
 
     async def handle(self, method: str, path: str, body: bytes, forwarded: bool = False) -> Answer | None:
-        """Answer a request under /v1; None if the path is not ours."""
+        """Answer a request under /v1 before its deadline; None if the path is not ours.
+
+        Guards against steps that are each bounded, while their sum is longer than a user waits.
+        """
+        deadline = Deadline(self.clock, self._time_for(method, forwarded))
+        try:
+            async with asyncio.timeout(deadline.left_s):
+                return await self._route(method, path, body, forwarded, deadline)
+        except TimeoutError:
+            return self.unavailable("no answer in time")
+
+    def _time_for(self, method: str, forwarded: bool) -> float:
+        """Return the seconds in which a request is answered; one that was passed on has to be back in time."""
+        if method == "GET":
+            return self.platform.report_s * self.tuning.poll * (FORWARDED_POLL_SHARE if forwarded else 1.0)
+        return self.platform.report_s * self.tuning.request * (FORWARDED_SHARE if forwarded else 1.0)
+
+    async def _route(self, method: str, path: str, body: bytes, forwarded: bool,
+                     deadline: Deadline) -> Answer | None:
         if path == "/v1/jobs":
             if method != "POST":
                 return Answer.error(405, "only POST is allowed here")
-            return await self._submit(path, body, forwarded)
+            return await self._submit(path, body, forwarded, deadline)
         if not path.startswith("/v1/jobs/"):
             return None
         job_id, slash, verb = path[len("/v1/jobs/"):].partition("/")
@@ -90,8 +116,8 @@
         if not is_job_id(job_id):
             return Answer.error(404, "no such job")
         if slash:
-            return await self._cancel(path, job_id, forwarded)
-        return await self._poll(path, job_id, forwarded)
+            return await self._cancel(path, job_id, forwarded, deadline)
+        return await self._poll(path, job_id, forwarded, deadline)
 
     def drop_outstanding(self) -> None:
         """Give up on requests that wait for a batch: their users come back and find out."""
@@ -101,17 +127,17 @@
 
     # -- submissions --------------------------------------------------------------------------------------
 
-    async def _submit(self, path: str, body: bytes, forwarded: bool) -> Answer:
+    async def _submit(self, path: str, body: bytes, forwarded: bool, deadline: Deadline) -> Answer:
         try:
             raw = parse_object(body)
             job_id = parse_id(raw)
         except BadField as error:
             return Answer.error(400, str(error), error.field)
         if not self.lead.holds:
-            return await self._pass_on("POST", path, body, forwarded)
-        return await self._submit_here(job_id, raw)
+            return await self._pass_on("POST", path, body, forwarded, deadline)
+        return await self._submit_here(job_id, raw, deadline)
 
-    async def _submit_here(self, job_id: str, raw: dict[str, Any]) -> Answer:
+    async def _submit_here(self, job_id: str, raw: dict[str, Any], deadline: Deadline) -> Answer:
         term = self.lead.term
         if term is None:
             return self.unavailable("no leader")
@@ -138,7 +164,7 @@
             return ended
         if term.queue_full:
             return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
-        view = await self._decide(term, Ticket(lambda view: None, spec, job_id, ended), submission=True)
+        view = await self._decide(term, Ticket(lambda view: None, spec, job_id, ended), deadline, submission=True)
         if view is None:
             return self.unavailable("not decided")
         return Answer(201, wire.encode(JobView(view.id, view.state)))
@@ -172,7 +198,7 @@
             view = view or term.lookup(job_id)
         return view if self._still(term) else self.unavailable("leadership changed")
 
-    async def _decide(self, term: Term, ticket: Ticket, submission: bool) -> JobView | None:
+    async def _decide(self, term: Term, ticket: Ticket, deadline: Deadline, submission: bool) -> JobView | None:
         """Wait until a request's batch is committed; None if that is given up."""
         future: asyncio.Future[JobView | None] = asyncio.get_running_loop().create_future()
         ticket.answer = lambda view: None if future.done() else future.set_result(view)
@@ -180,7 +206,7 @@
         self.outstanding.add(future)
         self.lead.kick()
         try:
-            return await asyncio.wait_for(future, self.platform.report_s)
+            return await asyncio.wait_for(future, min(self.platform.report_s, deadline.left_s))
         except TimeoutError:
             return None
         finally:
@@ -191,7 +217,7 @@
 
     # -- polls --------------------------------------------------------------------------------------------
 
-    async def _poll(self, path: str, job_id: str, forwarded: bool) -> Answer:
+    async def _poll(self, path: str, job_id: str, forwarded: bool, deadline: Deadline) -> Answer:
         term = self.lead.term
         view = self.finals.get(job_id)
         if view is None and term is not None:
@@ -201,7 +227,7 @@
         if view is not None:
             return self._found(view)
         if not self.lead.holds and not forwarded and self.lead.leader not in (None, self.platform.label):
-            answer = await self._pass_on("GET", path, b"", forwarded)
+            answer = await self._pass_on("GET", path, b"", forwarded, deadline)
             if answer.status in (200, 404):
                 return answer
         return await self._poll_store(job_id, term)
@@ -274,12 +300,12 @@
 
     # -- cancellations ------------------------------------------------------------------------------------
 
-    async def _cancel(self, path: str, job_id: str, forwarded: bool) -> Answer:
+    async def _cancel(self, path: str, job_id: str, forwarded: bool, deadline: Deadline) -> Answer:
         final = self.finals.get(job_id)
         if final is not None:
             return Answer(200, wire.encode(JobView(job_id, final.state)))
         if not self.lead.holds:
-            return await self._pass_on("POST", path, b"", forwarded)
+            return await self._pass_on("POST", path, b"", forwarded, deadline)
         term = self.lead.term
         if term is None:
             return self.unavailable("no leader")
@@ -291,19 +317,20 @@
         if view.state not in FINAL:
             if term.queue_full:
                 return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
-            view = await self._decide(term, Ticket(lambda view: None, None, job_id), submission=False)
+            view = await self._decide(term, Ticket(lambda view: None, None, job_id), deadline, submission=False)
         if view is None or view.state not in FINAL:
             return self.unavailable("not decided")
         return Answer(200, wire.encode(JobView(job_id, view.state)))
 
     # -- passing on ---------------------------------------------------------------------------------------
 
-    async def _pass_on(self, method: str, path: str, body: bytes, forwarded: bool) -> Answer:
+    async def _pass_on(self, method: str, path: str, body: bytes, forwarded: bool, deadline: Deadline) -> Answer:
         leader = self.lead.leader
         if forwarded or leader is None or leader == self.platform.label:
             return self.elsewhere("no leader")
         message = peer_messages.Forward(method, path, body.decode("utf-8", "replace"))
-        timeout_s = self.platform.report_s * (0.4 if method == "GET" else 1.1)
+        # A question that the leader does not answer can still be answered from the records.
+        timeout_s = deadline.left_s * (LEADER_POLL_SHARE if method == "GET" else 1.0)
         try:
             answer = await self.peers.send(leader, message, timeout_s)
         except PeerError as error:
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -88,7 +88,7 @@
         platform = self.platform
         sockets = SocketBudget(platform.fd_limit, len(platform.peers))
         sessions = self.connect(sockets)
-        self.users = UserApi(platform, self.tuning, self.store, self.peers, self)
+        self.users = UserApi(platform, self.tuning, self.store, self.peers, self, self.clock)
         self.election = Election(platform, self.tuning, self.store, self.rng, self.clock, self._rebuild,
                                  self._resigned, self._ask_peers, self._ask_leader)
         self.keeper = FleetKeeper(self)
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -56,6 +56,9 @@
     reserve: float = _ratio("api", 0.15, 0.0, 0.9, "changes kept free for users, of the changes a second")
     tidy: float = _ratio("api", 0.35, 0.0, 0.9, "changes left free by what only tidies up, of the changes a second")
     queue: float = _ratio("api", 4.0, 0.1, 100.0, "submissions waiting at most, of the changes a second")
+    poll: float = _ratio("api", 0.55, 0.1, 10.0, "time within which a question is answered, of the report interval")
+    request: float = _ratio("api", 1.2, 0.2, 10.0, "time within which a submission or cancellation is answered, of "
+                                                   "the report interval")
     retry: float = _ratio("api", 0.34, 0.1, 10.0, "Retry-After, of the report interval")
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -489,7 +489,7 @@
 async def test_transactions_carried_out_late_change_nothing_newer(sim: Simulation) -> None:
     """They come after newer ones of the same controller; each batch is conditional on the one before it."""
     sim.late_writes = 0.4
-    for number in range(1, 13):
+    for number in range(1, 25):
         sim.hand_in(raw_job(number, hands=2, voyageS=8.0, rig=("array", "group", "array")[number % 3], cores=1.0,
                             crew=("red", "blue")[number % 2]))
         await sim.rest(2.0)
@@ -583,9 +583,35 @@
 @played()
 async def test_a_question_about_an_unknown_job_is_answered_in_time_while_the_store_is_slow(sim: Simulation) -> None:
     """Users wait 2 s: what cannot be said by then is 503, not silence. A follower waits for the leader's answer, and
-    then reads two records itself; nothing bounds the sum."""
+    then reads two records itself: one deadline bounds the sum."""
     await services(sim, 1)
     sim.slow_s = 0.5
     await sim.rest(5.0)
     statuses = [(await sim.ask("GET", "/v1/jobs/req-000099", None, label))[0] for label in LABELS for _ in range(10)]
     assert set(statuses) <= {404, 503}, statuses
+
+
+@played()
+async def test_every_request_is_answered_before_its_user_gives_up_however_slow_the_store_is(sim: Simulation) -> None:
+    """Users wait 2 s for an answer to a question and 5 s for one to a submission or cancellation, `Simulation.ask`
+    as well (0: no answer). Looking up the job, each job that it needs and the decision count as one request."""
+    leader = sim.lead()
+    needs = [f"req-{number:06d}" for number in range(1, 25)]
+    for number in range(1, 25):
+        sim.hand_in(raw_job(number, hands=1, voyageS=1.0))
+    while set(sim.told.values()) != {"done"} or len(sim.told) < len(needs):
+        await sim.rest(1.0)
+        for job_id in needs:
+            await sim.poll(job_id, leader)
+    # The next leader knows these jobs from the store alone.
+    await hand_over(sim)
+    sim.slow_s = 0.3
+    await sim.rest(3.0)
+    statuses = []
+    for number, label in enumerate([label for label in LABELS if sim.up(label)] * 4, 100):
+        path = f"/v1/jobs/req-{number:06d}"
+        statuses.append((await sim.ask("POST", "/v1/jobs", raw_job(number, tows=needs), label))[0])
+        statuses.append((await sim.ask("POST", f"{path}/cancel", None, label))[0])
+        statuses.append((await sim.ask("GET", path, None, label))[0])
+    assert 0 not in statuses, statuses
+    assert 503 in statuses
