--- a/driftcleat/api/http.py
+++ b/driftcleat/api/http.py
@@ -83,8 +83,9 @@
         await self.runner.cleanup()
 
 
-async def serve(address: str, handler: Handler, most: int, most_body: int = MAX_BODY,
-                workers: str | None = None) -> Listener:
+async def serve(
+    address: str, handler: Handler, most: int, most_body: int = MAX_BODY, workers: str | None = None
+) -> Listener:
     """Listen on HOST:PORT; every request goes to `handler(method, path, body)`.
 
     At most `most` connections are open at once; those that ask for the path `workers` are workers'.
@@ -105,8 +106,9 @@
         headers = {}
         if answer.retry_after_s is not None:
             headers["Retry-After"] = str(answer.retry_after_s)
-        response = web.Response(status=answer.status, body=answer.body, content_type="application/json",
-                                headers=headers)
+        response = web.Response(
+            status=answer.status, body=answer.body, content_type="application/json", headers=headers
+        )
         if server.door.ended(request.protocol) or answer.close:
             response.force_close()
         return response
--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -63,8 +63,15 @@
 class UserApi:
     """Answers users."""
 
-    def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, peers: PeerClient,
-                 leadership: Leadership, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        tuning: Tuning,
+        store: StoreClient,
+        peers: PeerClient,
+        leadership: Leadership,
+        clock: Callable[[], float],
+    ) -> None:
         self.platform, self.tuning, self.store, self.peers, self.lead = platform, tuning, store, peers, leadership
         self.clock = clock
         self.retry_s = max(1, round(tuning.retry * platform.report_s))
@@ -99,15 +106,14 @@
             return self.platform.report_s * self.tuning.poll * (FORWARDED_POLL_SHARE if forwarded else 1.0)
         return self.platform.report_s * self.tuning.request * (FORWARDED_SHARE if forwarded else 1.0)
 
-    async def _route(self, method: str, path: str, body: bytes, forwarded: bool,
-                     deadline: Deadline) -> Answer | None:
+    async def _route(self, method: str, path: str, body: bytes, forwarded: bool, deadline: Deadline) -> Answer | None:
         if path == "/v1/jobs":
             if method != "POST":
                 return Answer.error(405, "only POST is allowed here")
             return await self._submit(path, body, forwarded, deadline)
         if not path.startswith("/v1/jobs/"):
             return None
-        job_id, slash, verb = path[len("/v1/jobs/"):].partition("/")
+        job_id, slash, verb = path[len("/v1/jobs/") :].partition("/")
         if slash and verb != "cancel":
             return None
         wanted = "POST" if slash else "GET"
@@ -239,8 +245,11 @@
                 item = await self.store.get(JOBS + job_id, self.most_wait_s)
                 if item is not None:
                     job = load_head(item)
-                    state = "cancelled" if job.state.value == "cancelled" or await self._doomed(job.spec) else (
-                        "running" if job.places else "pending")
+                    state = (
+                        "cancelled"
+                        if job.state.value == "cancelled" or await self._doomed(job.spec)
+                        else ("running" if job.places else "pending")
+                    )
                     return self._found(JobView(job_id, state, job.done, len(job.places)))
             view = await self._final(job_id)
         except (StoreError, wire.WireError):
@@ -284,8 +293,12 @@
             self.finals[view.id] = view
             while len(self.finals) > KEPT_FINALS:
                 self.finals.popitem(last=False)
-        return Answer(200, wire.encode({"nameId": view.id, "bearing": view.state, "done": view.done or 0,
-                                        "running": view.running or 0}))
+        return Answer(
+            200,
+            wire.encode(
+                {"nameId": view.id, "bearing": view.state, "done": view.done or 0, "running": view.running or 0}
+            ),
+        )
 
     async def _final(self, job_id: str) -> JobView | None:
         """Return the kept final state of a job, from memory or the store."""
--- a/driftcleat/cli/main.py
+++ b/driftcleat/cli/main.py
@@ -99,9 +99,13 @@
     batch = data["batch"]
     click.echo(f"batches: {batch['count']}, p50 {batch['p50_ms']:.1f} ms, p99 {batch['p99_ms']:.1f} ms")
     if "machines" in data:
-        click.echo(f"data version {data['data_version']}, {data['records_to_move']} jobs' records to move, "
-                   f"{data['jobs_waiting_for_others']} jobs wait for others")
-        click.echo("machines: " + (", ".join(f"{count} {state}" for state, count in sorted(data["machines"].items()))
-                                   or "none"))
+        click.echo(
+            f"data version {data['data_version']}, {data['records_to_move']} jobs' records to move, "
+            f"{data['jobs_waiting_for_others']} jobs wait for others"
+        )
+        click.echo(
+            "machines: "
+            + (", ".join(f"{count} {state}" for state, count in sorted(data["machines"].items())) or "none")
+        )
         for name, row in sorted(data["classes"].items()):
             click.echo(f"class {name}: {row['jobs']} jobs, {row['queued']} tasks queued, {row['placed']} placed")
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -66,8 +66,14 @@
 class Controller:
     """One controller process."""
 
-    def __init__(self, platform: Platform, tuning: Tuning, rng: random.Random | None = None,
-                 clock: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        tuning: Tuning,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         self.platform, self.tuning, self.clock, self.wall = platform, tuning, clock, wall
         self.rng = rng if rng is not None else random.Random()
         self.metrics = Metrics()
@@ -89,15 +95,29 @@
         sockets = SocketBudget(platform.fd_limit, len(platform.peers))
         sessions = self.connect(sockets)
         self.users = UserApi(platform, self.tuning, self.store, self.peers, self, self.clock)
-        self.election = Election(platform, self.tuning, self.store, self.rng, self.clock, self._rebuild,
-                                 self._resigned, self._ask_peers, self._ask_leader)
+        self.election = Election(
+            platform,
+            self.tuning,
+            self.store,
+            self.rng,
+            self.clock,
+            self._rebuild,
+            self._resigned,
+            self._ask_peers,
+            self._ask_leader,
+        )
         self.keeper = FleetKeeper(self)
         servers = await self.listen(sockets)
         if platform.memory_mb < LITTLE_MB:
             log.warning("deployment.resources.memory_mb is %g: about %d are needed", platform.memory_mb, LITTLE_MB)
         log.info("controller %s listens on %s and %s", platform.label, platform.bind, platform.back)
-        loops: list[Callable[[], Awaitable[None]]] = [self.election.run, self._write_loop, self._scan_loop,
-                                                      self._direct_loop, *self.keeper.loops()]
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self.election.run,
+            self._write_loop,
+            self._scan_loop,
+            self._direct_loop,
+            *self.keeper.loops(),
+        ]
         try:
             await asyncio.gather(*(self._contain(loop) for loop in loops))
         finally:
@@ -108,16 +128,18 @@
 
     def _new_layout(self) -> Layout:
         platform = self.platform
-        return Layout(platform.value_bytes, platform.txn_ops, platform.first_value_bytes, platform.first_txn_ops,
-                      platform.zones)
+        return Layout(
+            platform.value_bytes, platform.txn_ops, platform.first_value_bytes, platform.first_txn_ops, platform.zones
+        )
 
     def connect(self, sockets: SocketBudget) -> list[aiohttp.ClientSession]:
         """Make the clients; return what is to be closed in the end."""
         platform = self.platform
         # Each use has connections of its own: what hangs in one takes none from another.
         store, lease, cloud, peers, workers = sessions = [
-            part.session(platform.lease_s) for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers,
-                                                        sockets.workers)]
+            part.session(platform.lease_s)
+            for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers, sockets.workers)
+        ]
         self.store = StoreClient(store, lease, platform.state, self.store_limits, self.clock)
         self.cloud = CloudClient(cloud, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
         self.peers = PeerClient(peers, platform)
@@ -147,11 +169,13 @@
 
     def spawn(self, work: Awaitable[None]) -> None:
         """Run something on the side; its failure is logged."""
+
         async def contained() -> None:
             try:
                 await work
             except Exception:
                 log.exception("side task failed")
+
         task = asyncio.ensure_future(contained())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -184,8 +208,13 @@
         """Read all records; from now on the picture in memory is the truth's copy."""
         version = await self.store.get(VERSION)
         heads, chunks, rentals, machines, types, mark = await asyncio.gather(
-            self.store.read_all(JOBS), self.store.read_all(CHUNKS), self.store.read_all(RENTALS),
-            self.store.read_all(MACHINES), self.store.get(TYPES), self.store.get(BATCH))
+            self.store.read_all(JOBS),
+            self.store.read_all(CHUNKS),
+            self.store.read_all(RENTALS),
+            self.store.read_all(MACHINES),
+            self.store.get(TYPES),
+            self.store.get(BATCH),
+        )
         written = wire.decode(bytes(version.value), int) if version is not None else 1
         if written > DATA_VERSION:
             raise Malformed(f"the records are of data version {written}, this program knows {DATA_VERSION}")
@@ -194,15 +223,17 @@
         self.layout = self._new_layout()
         self.layout.switched = written == DATA_VERSION
         known = wire.decode(bytes(types.value), tuple[MachineType, ...]) if types is not None else ()
-        cluster = Cluster(token, jobs, {kind.name: kind for kind in known}, self.clock(),
-                          self.platform.lease_s, ended)
-        term = Term(self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall,
-                    brand_new=mark is None)
+        cluster = Cluster(
+            token, jobs, {kind.name: kind for kind in known}, self.clock(), self.platform.lease_s, ended
+        )
+        term = Term(
+            self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall, brand_new=mark is None
+        )
         for item in machines:
-            term.restore_images(item.key[len(MACHINES):], wire.decode(bytes(item.value), MachineRecord))
+            term.restore_images(item.key[len(MACHINES) :], wire.decode(bytes(item.value), MachineRecord))
         term.garbage.extend(orphans)
         for item in rentals:
-            name = item.key[len(RENTALS):]
+            name = item.key[len(RENTALS) :]
             term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
         self.mark_version = mark.version if mark is not None else 0
         self.batch_number = 0
@@ -216,8 +247,11 @@
         """Return the final states of the jobs that others need and that are over."""
         over = sorted({need for job in jobs.values() for need in job.spec.needs or () if need not in jobs})
         items = await asyncio.gather(*(self.store.get(ENDED + need) for need in over))
-        return {need: wire.decode(bytes(item.value), EndedRecord).state
-                for need, item in zip(over, items, strict=True) if item is not None}
+        return {
+            need: wire.decode(bytes(item.value), EndedRecord).state
+            for need, item in zip(over, items, strict=True)
+            if item is not None
+        }
 
     def _note_version(self, label: str, version: int) -> None:
         """A controller has said which data version it can write; once all write ours, it may begin.
@@ -226,8 +260,11 @@
         """
         self.peer_versions[label] = version
         term = self.term
-        if term is not None and not term.latch_wanted and all(
-                self.peer_versions.get(peer.label, 1) >= DATA_VERSION for peer in self.platform.peers):
+        if (
+            term is not None
+            and not term.latch_wanted
+            and all(self.peer_versions.get(peer.label, 1) >= DATA_VERSION for peer in self.platform.peers)
+        ):
             term.latch_wanted = True
             self.kick()
 
@@ -245,9 +282,13 @@
         highest = max(views, key=lambda view: view.token, default=None)
         contact_at, cancelled = _contact(asked_at, [view.standing for view in views])
         return Outlook(
-            in_reach=any(_served(view) or view.role in LEADS for view in views), contact_at=contact_at,
-            cancelled=cancelled, token=highest.token if highest else 0, leader=highest.leader if highest else None,
-            all_vouch=len(views) == len(self.platform.peers) and all(view.vouches for view in views))
+            in_reach=any(_served(view) or view.role in LEADS for view in views),
+            contact_at=contact_at,
+            cancelled=cancelled,
+            token=highest.token if highest else 0,
+            leader=highest.leader if highest else None,
+            all_vouch=len(views) == len(self.platform.peers) and all(view.vouches for view in views),
+        )
 
     async def _ask_leader(self) -> Outlook:
         """Ask the leader how it stands."""
@@ -263,8 +304,9 @@
         if self.term is None or not self.election.reigns:
             return None
         cancelled = sorted(self.term.cancelled_there())
-        return peer_messages.Standing(self.clock() - self.election.assured_at,
-                                      cancelled if len(cancelled) <= MOST_NAMED else None)
+        return peer_messages.Standing(
+            self.clock() - self.election.assured_at, cancelled if len(cancelled) <= MOST_NAMED else None
+        )
 
     # -- writing ------------------------------------------------------------------------------------------
 
@@ -466,8 +508,15 @@
             return
         signals = term.cluster.stops(machine)
         if signals:
-            self.spawn(self._send(machine.addr, machine.report.session, term.cluster.token, signals,
-                                  term.doubtful(machine, self.clock())))
+            self.spawn(
+                self._send(
+                    machine.addr,
+                    machine.report.session,
+                    term.cluster.token,
+                    signals,
+                    term.doubtful(machine, self.clock()),
+                )
+            )
 
     async def _send(self, addr: str, session: int, token: int, signals: list[Signal], doubtful: bool) -> None:
         refusal = await self.workers.send(addr, token, session, signals, doubtful)
@@ -526,8 +575,7 @@
         """Ask the leader whether it leads; if it does not, learn from the others who does."""
         timeout_s = self.platform.report_s / 10
         leader = self.leader
-        if leader in self.peers.addresses and any(
-                pong.leads for pong in await self.peers.ping([leader], timeout_s)):
+        if leader in self.peers.addresses and any(pong.leads for pong in await self.peers.ping([leader], timeout_s)):
             return True
         for pong in await self.peers.ping([label for label in self.peers.addresses if label != leader], timeout_s):
             self.election.learn(pong.sender if pong.leads else pong.leader, pong.token)
@@ -555,14 +603,25 @@
             answer = await self.users.handle(message.method, message.path, message.body.encode(), forwarded=True)
             if answer is None:
                 answer = Answer.error(404, "no such path")
-            return Answer(200, wire.encode(peer_messages.Forwarded(answer.status, answer.body.decode(),
-                                                                   answer.retry_after_s)))
+            return Answer(
+                200, wire.encode(peer_messages.Forwarded(answer.status, answer.body.decode(), answer.retry_after_s))
+            )
         if isinstance(message, peer_messages.Ping | peer_messages.Ask):
             self._note_version(message.sender, message.data_version)
         if isinstance(message, peer_messages.Ping):
-            return Answer(200, wire.encode(peer_messages.Pong(
-                self.platform.label, self.election.answers_workers, self.leader, self.election.leader_token,
-                self._standing(), DATA_VERSION)))
+            return Answer(
+                200,
+                wire.encode(
+                    peer_messages.Pong(
+                        self.platform.label,
+                        self.election.answers_workers,
+                        self.leader,
+                        self.election.leader_token,
+                        self._standing(),
+                        DATA_VERSION,
+                    )
+                ),
+            )
         if isinstance(message, peer_messages.Ask):
             return Answer(200, wire.encode(await self._view()))
         return Answer.error(400, "not a question")
@@ -575,10 +634,17 @@
             pass
         now = self.clock()
         served, refused = self.store.served_at, self.store.refused_at
-        return peer_messages.View(self.platform.label, self.election.role.value, self.leader,
-                                  self.election.leader_token, now - served if served is not None else -1.0,
-                                  now - refused if refused is not None else -1.0,
-                                  self.election.vouches, self._standing(), DATA_VERSION)
+        return peer_messages.View(
+            self.platform.label,
+            self.election.role.value,
+            self.leader,
+            self.election.leader_token,
+            now - served if served is not None else -1.0,
+            now - refused if refused is not None else -1.0,
+            self.election.vouches,
+            self._standing(),
+            DATA_VERSION,
+        )
 
 
 def _contact(asked_at: float, standings: list[peer_messages.Standing | None]) -> tuple[float, frozenset[str]]:
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -27,8 +27,9 @@
 class CloudClient:
     """Speaks to the cloud."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str, rps: float, timeout_s: float,
-                 clock: Callable[[], float]) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, rps: float, timeout_s: float, clock: Callable[[], float]
+    ) -> None:
         self.session, self.base, self.timeout_s, self.clock = session, f"http://{address}", timeout_s, clock
         self.malformed = 0
         # The cloud permits bursts worth two seconds.
@@ -55,8 +56,9 @@
 
     async def _exchange(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        async with self.session.request(method, self.base + path, data=body,
-                                        timeout=aiohttp.ClientTimeout(total=self.timeout_s)) as response:
+        async with self.session.request(
+            method, self.base + path, data=body, timeout=aiohttp.ClientTimeout(total=self.timeout_s)
+        ) as response:
             return response.status, await response.read()
 
     async def types(self) -> tuple[messages.MachineType, ...]:
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/keeper.py
@@ -191,8 +191,11 @@
                 term.rent(plan)
                 self.controller.kick()
             silent_s = now - self.heard_at
-            if term.cluster.machines and silent_s > self.platform.lease_s * self.tuning.deaf and any(
-                    machine.report is not None for machine in term.cluster.machines.values()):
+            if (
+                term.cluster.machines
+                and silent_s > self.platform.lease_s * self.tuning.deaf
+                and any(machine.report is not None for machine in term.cluster.machines.values())
+            ):
                 self.heard_at = now
                 self.controller.election.ask_resign("no worker reports to us")
 
@@ -235,8 +238,15 @@
             await asyncio.sleep(self.platform.report_s / 6)
             return
         kind = "spot" if record.spot else "ordinary"
-        log.debug("rental %s of %s %s in %s: %d of %d", rental.name, kind, record.type,
-                  record.zone, len(machines), record.count)
+        log.debug(
+            "rental %s of %s %s in %s: %d of %d",
+            rental.name,
+            kind,
+            record.type,
+            record.zone,
+            len(machines),
+            record.count,
+        )
         if self.controller.term is term:
             if machines and len(machines) < record.count:
                 term.note_refusal((record.type, record.zone, record.spot), self.clock())
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -40,8 +40,14 @@
     def cost(self, types: dict[str, MachineType]) -> float:
         """Return what a task costs an hour on the type that suits it best, if that is filled up."""
         spec = self.spec
-        return min((kind.price * share(spec, kind.cpus, kind.gpus, kind.memory_gb)
-                    for kind in types.values() if spec.types is None or kind.name in spec.types), default=0.0)
+        return min(
+            (
+                kind.price * share(spec, kind.cpus, kind.gpus, kind.memory_gb)
+                for kind in types.values()
+                if spec.types is None or kind.name in spec.types
+            ),
+            default=0.0,
+        )
 
 
 @dataclass(slots=True)
@@ -61,8 +67,16 @@
             self._add(room, [room.name])
 
     def _add(self, room: Room, names: list[str]) -> None:
-        key = (room.type, room.zone, room.spot, room.busy, round(room.cpus, 4), round(room.gpus, 4),
-               round(room.memory_gb, 4), room.name if room.avoided_by else "")
+        key = (
+            room.type,
+            room.zone,
+            room.spot,
+            room.busy,
+            round(room.cpus, 4),
+            round(room.gpus, 4),
+            round(room.memory_gb, 4),
+            room.name if room.avoided_by else "",
+        )
         group = self.groups.get(key)
         if group is None:
             self.groups[key] = (room, names)
@@ -83,9 +97,11 @@
         """Put a demand into rooms in use first, where a task costs least, the tightest first: what stays empty
         can be returned."""
         spec = demand.spec
-        fitting = [(not room.busy, room.slow_cost(spec), room.away, room.gpus, room.cpus, key)
-                   for key, (room, names) in self.groups.items()
-                   if names and fits(spec, room.cpus, room.gpus, room.memory_gb) and _may_use(demand, room)]
+        fitting = [
+            (not room.busy, room.slow_cost(spec), room.away, room.gpus, room.cpus, key)
+            for key, (room, names) in self.groups.items()
+            if names and fits(spec, room.cpus, room.gpus, room.memory_gb) and _may_use(demand, room)
+        ]
         fitting.sort(key=lambda row: row[:5])
         for *_, key in fitting:
             if demand.tasks <= 0:
@@ -107,8 +123,14 @@
             demand.took(room.zone, whole * each + rest)
 
 
-def plan_fleet(demands: Iterable[Demand], rooms: Iterable[Room], types: dict[str, MachineType],
-               refused: Callable[[Offer], bool], most: int, away: Callable[[str], int] = lambda zone: 0) -> Plan:
+def plan_fleet(
+    demands: Iterable[Demand],
+    rooms: Iterable[Room],
+    types: dict[str, MachineType],
+    refused: Callable[[Offer], bool],
+    most: int,
+    away: Callable[[str], int] = lambda zone: 0,
+) -> Plan:
     """Pack demands into present and booting rooms first, then into the new machines they fill best."""
     plan = Plan({}, set())
     left: list[Demand] = []
@@ -138,8 +160,13 @@
     return plan
 
 
-def _one_zone(demand: Demand, stock: Stock, types: dict[str, MachineType], refused: Callable[[Offer], bool],
-              away: Callable[[str], int]) -> str | None:
+def _one_zone(
+    demand: Demand,
+    stock: Stock,
+    types: dict[str, MachineType],
+    refused: Callable[[Offer], bool],
+    away: Callable[[str], int],
+) -> str | None:
     """Return the zone where a one-zone job lacks least, of those where what it lacks can be had.
 
     Guards against counting rooms of two zones for a job that may use only one: it then waited for ever.
@@ -147,32 +174,46 @@
     spec = demand.spec
     if demand.zones:
         return next(iter(demand.zones))
-    zones = sorted({zone for kind in types.values() for zone in kind.zones}
-                   | {room.zone for room, _ in stock.groups.values()})
+    zones = sorted(
+        {zone for kind in types.values() for zone in kind.zones} | {room.zone for room, _ in stock.groups.values()}
+    )
     best: tuple[int, int, str] | None = None
     for zone in zones:
         lacking = demand.tasks - stock.tasks(spec, zone, demand.tasks)
-        to_be_had = any(zone in kind.zones and allowed(spec, kind.name, zone, spot)
-                        and capacity(spec, kind.cpus, kind.gpus, kind.memory_gb, 1)
-                        and not refused((kind.name, zone, spot)) for kind in types.values() for spot in (True, False))
+        to_be_had = any(
+            zone in kind.zones
+            and allowed(spec, kind.name, zone, spot)
+            and capacity(spec, kind.cpus, kind.gpus, kind.memory_gb, 1)
+            and not refused((kind.name, zone, spot))
+            for kind in types.values()
+            for spot in (True, False)
+        )
         if (lacking == 0 or to_be_had) and (best is None or (lacking, away(zone), zone) < best):
             best = (lacking, away(zone), zone)
     return best[2] if best is not None else None
 
 
 def _fresh(kind: MachineType, offer: Offer) -> Room:
-    return Room("", kind.name, offer[1], offer[2], kind.cpus, kind.gpus, kind.memory_gb,
-                fetch_gb_per_s=kind.fetch_gb_per_s)
+    return Room(
+        "", kind.name, offer[1], offer[2], kind.cpus, kind.gpus, kind.memory_gb, fetch_gb_per_s=kind.fetch_gb_per_s
+    )
 
 
 def _free_share(kind: MachineType, room: Room) -> float:
     """Return the part of a machine that is still free, by what is scarcest on it."""
-    return max(0.0, min(free / whole for free, whole in (
-        (room.cpus, kind.cpus), (room.gpus, kind.gpus), (room.memory_gb, kind.memory_gb)) if whole > 0))
-
-
-def _best_offer(left: list[Demand], types: dict[str, MachineType], refused: Callable[[Offer], bool],
-                away: Callable[[str], int]) -> Offer | None:
+    return max(
+        0.0,
+        min(
+            free / whole
+            for free, whole in ((room.cpus, kind.cpus), (room.gpus, kind.gpus), (room.memory_gb, kind.memory_gb))
+            if whole > 0
+        ),
+    )
+
+
+def _best_offer(
+    left: list[Demand], types: dict[str, MachineType], refused: Callable[[Offer], bool], away: Callable[[str], int]
+) -> Offer | None:
     """Return the offer that is worth most for its price, filled with what is left; None when nothing helps."""
     wanted = sum(demand.tasks for demand in left)
     best: Offer | None = None
@@ -204,8 +245,11 @@
 
 def _may_use(demand: Demand, room: Room) -> bool:
     spec = demand.spec
-    return (allowed(spec, room.type, room.zone, room.spot) and spec.id not in room.avoided_by
-            and (demand.only is None or room.zone == demand.only))
+    return (
+        allowed(spec, room.type, room.zone, room.spot)
+        and spec.id not in room.avoided_by
+        and (demand.only is None or room.zone == demand.only)
+    )
 
 
 def _zone_left(demand: Demand, zone: str) -> int:
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -75,10 +75,18 @@
 class Election:
     """Takes part in the election and keeps the lease while it holds the key."""
 
-    def __init__(self, platform: Platform, tuning: Tuning, store: StoreClient, rng: random.Random,
-                 clock: Callable[[], float], rebuild: Callable[[int], Awaitable[None]],
-                 resign: Callable[[], None], ask_peers: Callable[[], Awaitable[Outlook]],
-                 ask_leader: Callable[[], Awaitable[Outlook]]) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        tuning: Tuning,
+        store: StoreClient,
+        rng: random.Random,
+        clock: Callable[[], float],
+        rebuild: Callable[[int], Awaitable[None]],
+        resign: Callable[[], None],
+        ask_peers: Callable[[], Awaitable[Outlook]],
+        ask_leader: Callable[[], Awaitable[Outlook]],
+    ) -> None:
         self.platform, self.tuning, self.store, self.rng, self.clock = platform, tuning, store, rng, clock
         self.rebuild, self.on_resign, self.ask_peers, self.ask_leader = rebuild, resign, ask_peers, ask_leader
         self.role = Role.FOLLOWER
@@ -102,8 +110,9 @@
         self.cancelled: frozenset[str] = frozenset()
         self.outranked = False
         # Leases kept by who cannot hear of cancellations must end within the time that a cancellation has.
-        self.hold_s = max(0.0, min(platform.lease_s * tuning.hold,
-                                   platform.cancel_s - platform.lease_s - platform.report_s))
+        self.hold_s = max(
+            0.0, min(platform.lease_s * tuning.hold, platform.cancel_s - platform.lease_s - platform.report_s)
+        )
         self._wake = asyncio.Event()
 
     def change(self, to: Role) -> None:
@@ -242,8 +251,11 @@
 
     def learn(self, label: str | None, token: int) -> None:
         """A peer says who leads; the store's word, and a higher token, go before it."""
-        if self.role in (Role.FOLLOWER, Role.TENDING) and label not in (None, self.platform.label) and (
-                token > self.leader_token):
+        if (
+            self.role in (Role.FOLLOWER, Role.TENDING)
+            and label not in (None, self.platform.label)
+            and (token > self.leader_token)
+        ):
             log.info("leader is %s (token %d), a peer says", label, token)
             self.leader, self.leader_token = label, token
 
@@ -259,8 +271,12 @@
         if outlook.in_reach:
             if self.role is Role.TENDING:
                 self.change(Role.FOLLOWER)
-        elif self.role is Role.FOLLOWER and self.leader_token and not self.outranked and (
-                self.clock() - self._contact_at < self.hold_s):
+        elif (
+            self.role is Role.FOLLOWER
+            and self.leader_token
+            and not self.outranked
+            and (self.clock() - self._contact_at < self.hold_s)
+        ):
             self.change(Role.TENDING)
         elif self.role is Role.TENDING and self.tended_token is None:
             self.change(Role.FOLLOWER)
--- a/driftcleat/metrics.py
+++ b/driftcleat/metrics.py
@@ -43,16 +43,24 @@
         """Return the state of a controller for operators."""
         election, term = controller.election, controller.term
         out: dict[str, Any] = {
-            "controller": controller.platform.label, "role": election.role.value, "leader": election.leader,
-            "term": election.leader_token, "holds": controller.holds,
+            "controller": controller.platform.label,
+            "role": election.role.value,
+            "leader": election.leader,
+            "term": election.leader_token,
+            "holds": controller.holds,
             "lease_left_s": round(election.lease.left(controller.clock()), 3),
-            "build": self.build_ms.summary(), "batch": self.batch_ms.summary(), "users": self.user_ms.summary(),
+            "build": self.build_ms.summary(),
+            "batch": self.batch_ms.summary(),
+            "users": self.user_ms.summary(),
             "reports": self.report_ms.summary(),
             "parts_s": {part: round(seconds, 3) for part, seconds in sorted(self.parts.items())},
-            "bad_reports": self.bad_reports, "stale_reports": self.stale_reports,
-            "bad_peer_messages": self.bad_peer_messages, "bad_store_answers": controller.store.malformed,
+            "bad_reports": self.bad_reports,
+            "stale_reports": self.stale_reports,
+            "bad_peer_messages": self.bad_peer_messages,
+            "bad_store_answers": controller.store.malformed,
             "bad_cloud_answers": controller.cloud.malformed,
-            "connections": len(controller.front.door.open), "connections_most": controller.front.door.most,
+            "connections": len(controller.front.door.open),
+            "connections_most": controller.front.door.most,
             "connections_closed": controller.front.door.last_answers,
             "connections_refused": controller.front.door.turned_away,
         }
@@ -67,12 +75,22 @@
                 row["queued"] += job.queued
                 row["placed"] += len(job.places)
             counters = term.counters
-            out |= {"data_version": 2 if term.layout.switched else 1, "records_to_move": len(term.unmoved),
-                    "jobs_waiting_for_others": len(term.cluster.needs.unmet),
-                    "machines": machines, "classes": classes,
-                    "waiting_submissions": len(term.submissions), "waiting_cancellations": len(term.cancels),
-                    "open_rentals": len(term.open_rentals), "batches": counters.batches,
-                    "rounds": counters.rounds, "rounds_cut": counters.rounds_cut, "placed": counters.placed,
-                    "preempted": counters.preempted, "rented": counters.rented, "returned": counters.returned,
-                    "exits": counters.failures}
+            out |= {
+                "data_version": 2 if term.layout.switched else 1,
+                "records_to_move": len(term.unmoved),
+                "jobs_waiting_for_others": len(term.cluster.needs.unmet),
+                "machines": machines,
+                "classes": classes,
+                "waiting_submissions": len(term.submissions),
+                "waiting_cancellations": len(term.cancels),
+                "open_rentals": len(term.open_rentals),
+                "batches": counters.batches,
+                "rounds": counters.rounds,
+                "rounds_cut": counters.rounds_cut,
+                "placed": counters.placed,
+                "preempted": counters.preempted,
+                "rented": counters.rented,
+                "returned": counters.returned,
+                "exits": counters.failures,
+            }
         return out
--- a/driftcleat/model/__init__.py
+++ b/driftcleat/model/__init__.py
@@ -5,5 +5,17 @@
 from .jobs import IllegalMove, Job, JobState, Place, TaskState, change_job, change_task
 from .machines import Machine, MachineState, change_machine
 
-__all__ = ["Batch", "Cluster", "IllegalMove", "Job", "JobState", "Machine", "MachineState", "Place", "TaskState",
-           "change_job", "change_machine", "change_task"]
+__all__ = [
+    "Batch",
+    "Cluster",
+    "IllegalMove",
+    "Job",
+    "JobState",
+    "Machine",
+    "MachineState",
+    "Place",
+    "TaskState",
+    "change_job",
+    "change_machine",
+    "change_task",
+]
--- a/driftcleat/model/batch.py
+++ b/driftcleat/model/batch.py
@@ -12,8 +12,14 @@
 class Batch:
     """Collects changes until the store's limits are reached. Nothing in it is visible before the commit."""
 
-    def __init__(self, committed: dict[str, Job], chunk_of: Callable[[Job, int], int], ops: int, size: int,
-                 frozen: Callable[[Job], bool] = lambda job: False) -> None:
+    def __init__(
+        self,
+        committed: dict[str, Job],
+        chunk_of: Callable[[Job, int], int],
+        ops: int,
+        size: int,
+        frozen: Callable[[Job], bool] = lambda job: False,
+    ) -> None:
         self.committed, self.chunk_of, self._frozen = committed, chunk_of, frozen
         self.ops_left, self.size_left = ops, size
         self.jobs: dict[str, Job] = {}
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -43,8 +43,15 @@
 class Cluster:
     """One term's picture."""
 
-    def __init__(self, token: int, jobs: dict[str, Job], types: dict[str, MachineType], now: float,
-                 lease_s: float = 0.0, ended: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        token: int,
+        jobs: dict[str, Job],
+        types: dict[str, MachineType],
+        now: float,
+        lease_s: float = 0.0,
+        ended: dict[str, str] | None = None,
+    ) -> None:
         """`ended` tells the final states of jobs that are over and that others need."""
         self.token, self.lease_s = token, lease_s
         self.jobs = jobs
@@ -160,14 +167,22 @@
         """
         if machine.answered is None:
             return
-        lapsed = (machine.report is not None and report.session > machine.report.session
-                  and now - machine.heard_at < self.lease_s)
+        lapsed = (
+            machine.report is not None
+            and report.session > machine.report.session
+            and now - machine.heard_at < self.lease_s
+        )
         deaf = report.token < self.token or lapsed
         if not deaf and machine.offered:
-            listed = {(split[0], split[1], task.attempt) for task in report.tasks
-                      if (split := wire_workers.split_task(task.task)) is not None}
-            deaf = any(order < (report.session, report.seq) and attempt not in listed and attempt not in machine.seen
-                       for attempt, order in machine.offered.items())
+            listed = {
+                (split[0], split[1], task.attempt)
+                for task in report.tasks
+                if (split := wire_workers.split_task(task.task)) is not None
+            }
+            deaf = any(
+                order < (report.session, report.seq) and attempt not in listed and attempt not in machine.seen
+                for attempt, order in machine.offered.items()
+            )
         if not deaf:
             machine.unheeded = 0
             return
@@ -210,8 +225,9 @@
 
     def _open_question(self, machine: Machine) -> bool:
         """Whether the newest report, although it lists the same tasks, may prove something."""
-        return any((key[0], key[1], place.attempt) not in machine.reported
-                   for key, place in machine.tasks.items()) or self.news(machine)
+        return any(
+            (key[0], key[1], place.attempt) not in machine.reported for key, place in machine.tasks.items()
+        ) or self.news(machine)
 
     def image_of(self, key: tuple[str, int]) -> str | None:
         """Return the image of a task whose job is known."""
@@ -278,8 +294,9 @@
             self._leave(batch, job, key[1])
         return whole
 
-    def _absent(self, machine: Machine, job: Job, key: tuple[str, int], place: Place, order: tuple[int, int],
-                batch: Batch) -> bool:
+    def _absent(
+        self, machine: Machine, job: Job, key: tuple[str, int], place: Place, order: tuple[int, int], batch: Batch
+    ) -> bool:
         """A task its machine does not list: proven off only if no start of it can still arrive."""
         attempt = (key[0], key[1], place.attempt)
         offered = machine.offered.get(attempt)
@@ -348,8 +365,10 @@
 
     def news(self, machine: Machine) -> bool:
         """Whether the machine's newest report has exits that are not committed yet."""
-        return any(state == wire_workers.EXITED and key[:2] in machine.tasks
-                   and machine.tasks[key[:2]].attempt == key[2] for key, state in machine.reported.items())
+        return any(
+            state == wire_workers.EXITED and key[:2] in machine.tasks and machine.tasks[key[:2]].attempt == key[2]
+            for key, state in machine.reported.items()
+        )
 
     # -- commit -------------------------------------------------------------------------------------------
 
--- a/driftcleat/model/jobs.py
+++ b/driftcleat/model/jobs.py
@@ -53,8 +53,20 @@
 class Job:
     """A job with the state of each task. Committed jobs are never changed: a batch changes a copy."""
 
-    __slots__ = ("cancelled_at", "chunk_versions", "done", "launch", "level", "places", "spec", "split", "state",
-                 "status", "submitted", "version")
+    __slots__ = (
+        "cancelled_at",
+        "chunk_versions",
+        "done",
+        "launch",
+        "level",
+        "places",
+        "spec",
+        "split",
+        "state",
+        "status",
+        "submitted",
+        "version",
+    )
 
     def __init__(self, spec: Submission, submitted: float) -> None:
         self.spec = spec
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -36,10 +36,36 @@
 class Machine:
     """One machine. What is committed about it is `tasks`; all else is learnt from reports and lists."""
 
-    __slots__ = ("addr", "answered", "changed_at", "cpus", "failed_jobs", "fetched", "full_until", "gpus", "heard_at",
-                 "idle_since", "images", "memory_gb", "name", "offered", "phases", "rented_at", "report",
-                 "reported", "running_since", "seen", "spot", "state", "tasks", "trusted", "type", "unheeded",
-                 "unheeded_since", "zone")
+    __slots__ = (
+        "addr",
+        "answered",
+        "changed_at",
+        "cpus",
+        "failed_jobs",
+        "fetched",
+        "full_until",
+        "gpus",
+        "heard_at",
+        "idle_since",
+        "images",
+        "memory_gb",
+        "name",
+        "offered",
+        "phases",
+        "rented_at",
+        "report",
+        "reported",
+        "running_since",
+        "seen",
+        "spot",
+        "state",
+        "tasks",
+        "trusted",
+        "type",
+        "unheeded",
+        "unheeded_since",
+        "zone",
+    )
 
     def __init__(self, name: str, kind: MachineType | None, zone: str, spot: bool, addr: str, now: float) -> None:
         self.name, self.type, self.zone, self.spot, self.addr = name, kind, zone, spot, addr
--- a/driftcleat/model/needs.py
+++ b/driftcleat/model/needs.py
@@ -32,8 +32,9 @@
         """Return the most urgent level of a job and of those that need it, directly or through others."""
         return self.levels.get(job_id, LEAST)
 
-    def add(self, job_id: str, needs: Iterable[str], unmet: Iterable[str], level: int,
-            doomed: bool = False) -> set[str]:
+    def add(
+        self, job_id: str, needs: Iterable[str], unmet: Iterable[str], level: int, doomed: bool = False
+    ) -> set[str]:
         """Take in a job; return those whose level changed."""
         self.own[job_id] = level
         self.needs[job_id] = frozenset(needs)
@@ -91,8 +92,9 @@
             own = self.own.get(job_id)
             if own is None:
                 continue
-            level = min([own, *(self.levels[other] for other in self.dependents.get(job_id, ())
-                                if other in self.levels)])
+            level = min(
+                [own, *(self.levels[other] for other in self.dependents.get(job_id, ()) if other in self.levels)]
+            )
             if level != self.levels.get(job_id):
                 self.levels[job_id] = level
                 changed.add(job_id)
--- a/driftcleat/net/budget.py
+++ b/driftcleat/net/budget.py
@@ -20,11 +20,15 @@
 
     def session(self, keep_s: float) -> aiohttp.ClientSession:
         """Return a client that keeps to it; idle connections are closed after a while."""
-        connector = aiohttp.TCPConnector(limit=self.total, limit_per_host=self.each, keepalive_timeout=keep_s,
-                                         use_dns_cache=False)
-        return aiohttp.ClientSession(connector=connector, auto_decompress=False,
-                                     headers={"Content-Type": "application/json"},
-                                     skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"))
+        connector = aiohttp.TCPConnector(
+            limit=self.total, limit_per_host=self.each, keepalive_timeout=keep_s, use_dns_cache=False
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            headers={"Content-Type": "application/json"},
+            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+        )
 
 
 class SocketBudget:
--- a/driftcleat/peers/client.py
+++ b/driftcleat/peers/client.py
@@ -42,19 +42,23 @@
 
     async def _exchange(self, address: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        async with self.session.post(f"http://{address}{PATH}", data=body,
-                                     timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+        async with self.session.post(
+            f"http://{address}{PATH}", data=body, timeout=aiohttp.ClientTimeout(total=timeout_s)
+        ) as response:
             return response.status, await response.read()
 
     async def ping(self, labels: list[str], timeout_s: float) -> list[messages.Pong]:
         """Ask controllers who leads; those that answer are returned."""
         question = messages.Ping(self.label, DATA_VERSION)
-        answers = await asyncio.gather(*(self.send(label, question, timeout_s) for label in labels),
-                                       return_exceptions=True)
+        answers = await asyncio.gather(
+            *(self.send(label, question, timeout_s) for label in labels), return_exceptions=True
+        )
         return [answer for answer in answers if isinstance(answer, messages.Pong)]
 
     async def views(self, timeout_s: float) -> list[messages.View]:
         """Ask every other controller how it sees the world; those that answer are returned."""
-        answers = await asyncio.gather(*(self.send(label, messages.Ask(self.label, DATA_VERSION), timeout_s)
-                                         for label in self.addresses), return_exceptions=True)
+        answers = await asyncio.gather(
+            *(self.send(label, messages.Ask(self.label, DATA_VERSION), timeout_s) for label in self.addresses),
+            return_exceptions=True,
+        )
         return [answer for answer in answers if isinstance(answer, messages.View)]
--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -44,8 +44,13 @@
 class PlacementRound:
     """Places tasks into rooms until the time budget is used up."""
 
-    def __init__(self, rooms: Iterable[Room], sample: int, rng: random.Random,
-                 blocked: Callable[[str, int], bool] = lambda job, index: False) -> None:
+    def __init__(
+        self,
+        rooms: Iterable[Room],
+        sample: int,
+        rng: random.Random,
+        blocked: Callable[[str, int], bool] = lambda job, index: False,
+    ) -> None:
         self.rooms = [room for room in rooms]
         rng.shuffle(self.rooms)
         self.sample, self.rng, self.blocked = max(1, sample), rng, blocked
@@ -111,10 +116,14 @@
         if spec.one_zone:
             free: dict[str, int] = {}
             for room in self.rooms:
-                if (fits(spec, room.cpus, room.gpus, room.memory_gb) and room.held_for in (None, spec.id)
-                        and allowed(spec, room.type, room.zone, room.spot)):
-                    free[room.zone] = free.get(room.zone, 0) + capacity(spec, room.cpus, room.gpus, room.memory_gb,
-                                                                        need)
+                if (
+                    fits(spec, room.cpus, room.gpus, room.memory_gb)
+                    and room.held_for in (None, spec.id)
+                    and allowed(spec, room.type, room.zone, room.spot)
+                ):
+                    free[room.zone] = free.get(room.zone, 0) + capacity(
+                        spec, room.cpus, room.gpus, room.memory_gb, need
+                    )
             free = {name: count for name, count in free.items() if count >= need}
             away = {room.zone: room.away for room in self.rooms}
             zones = [*sorted(free, key=lambda name: (away[name], -free[name], name))]
@@ -136,8 +145,11 @@
                     used.give(spec)
                 return None
             # Fill the machine before looking further: consecutive tasks make short records.
-            while (len(chosen) < need and fits(spec, room.cpus, room.gpus, room.memory_gb)
-                   and counts.get(room.zone, 0) < per_zone):
+            while (
+                len(chosen) < need
+                and fits(spec, room.cpus, room.gpus, room.memory_gb)
+                and counts.get(room.zone, 0) < per_zone
+            ):
                 room.take(spec)
                 counts[room.zone] = counts.get(room.zone, 0) + 1
                 chosen.append(room)
@@ -145,8 +157,16 @@
 
     def find(self, spec: Submission, zone: str | None, also: Callable[[Room], bool]) -> Room | None:
         """Return the best fit among the first sample of rooms in which any fits."""
-        shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, zone or spec.zone, spec.spot, spec.spread,
-                 spec.one_zone)
+        shape = (
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            spec.types,
+            zone or spec.zone,
+            spec.spot,
+            spec.spread,
+            spec.one_zone,
+        )
         if shape in self.hopeless:
             return None
         start = self.rng.randrange(len(self.rooms)) if self.rooms else 0
@@ -160,8 +180,12 @@
                 continue
             if not allowed(spec, room.type, room.zone, room.spot) or (zone is not None and room.zone != zone):
                 continue
-            if spec.id in room.avoided_by or room.held_for not in (None, spec.id) or not also(room) or (
-                    room.fetch_rank(spec.image) > self.most_fetches):
+            if (
+                spec.id in room.avoided_by
+                or room.held_for not in (None, spec.id)
+                or not also(room)
+                or (room.fetch_rank(spec.image) > self.most_fetches)
+            ):
                 refused = True
                 continue
             score = self._score(spec, room)
@@ -178,14 +202,23 @@
         """Lower is better: image there already, what the place is worth, zone, machine in use, what is left over."""
         rank = room.fetch_rank(spec.image)
         cost = room.slow_cost(spec) if rank else room.share_cost(spec)
-        return (float(rank), cost, float(room.away), 0.0 if room.busy else 1.0,
-                room.gpus - spec.gpus, room.cpus - spec.cpus)
+        return (
+            float(rank),
+            cost,
+            float(room.away),
+            0.0 if room.busy else 1.0,
+            room.gpus - spec.gpus,
+            room.cpus - spec.cpus,
+        )
 
 
 def plan_preemption(spec: Submission, room: Room, victims: list[Victim]) -> Preemption | None:
     """Return the cheapest set of these tasks whose stop makes room for one task; empty if there is room already."""
-    if spec.id in room.avoided_by or room.held_for not in (None, spec.id) or not allowed(
-            spec, room.type, room.zone, room.spot):
+    if (
+        spec.id in room.avoided_by
+        or room.held_for not in (None, spec.id)
+        or not allowed(spec, room.type, room.zone, room.spot)
+    ):
         return None
     cpus, gpus, memory_gb = room.cpus, room.gpus, room.memory_gb
     chosen: list[Victim] = []
--- a/driftcleat/placement/rooms.py
+++ b/driftcleat/placement/rooms.py
@@ -44,7 +44,7 @@
 
         Guards against replicas that waited half as long again for their image to save a fifth of the price.
         """
-        return self.share_cost(spec) / (self.fetch_gb_per_s ** HASTE if hasty(spec) else 1.0)
+        return self.share_cost(spec) / (self.fetch_gb_per_s**HASTE if hasty(spec) else 1.0)
 
     def take(self, spec: Submission, tasks: int = 1) -> None:
         """Use up what tasks need."""
@@ -75,19 +75,28 @@
 
 def allowed(spec: Submission, type_name: str, zone: str, spot: bool) -> bool:
     """Tell whether a job allows this type, zone and kind of machine."""
-    return ((spec.types is None or type_name in spec.types) and (spec.zone is None or zone == spec.zone)
-            and (spec.spot or not spot))
+    return (
+        (spec.types is None or type_name in spec.types)
+        and (spec.zone is None or zone == spec.zone)
+        and (spec.spot or not spot)
+    )
 
 
 def fits(spec: Submission, cpus: float, gpus: float, memory_gb: float) -> bool:
     """Tell whether a task fits into these amounts."""
-    return (spec.cpus <= cpus + SLACK and spec.gpus <= gpus + SLACK and spec.memory_gb <= memory_gb + SLACK)
+    return spec.cpus <= cpus + SLACK and spec.gpus <= gpus + SLACK and spec.memory_gb <= memory_gb + SLACK
 
 
 def share(spec: Submission, cpus: float, gpus: float, memory_gb: float) -> float:
     """Return the part of these amounts that a task takes, by what it takes most of."""
-    return max((need / whole for need, whole in (
-        (spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb)) if whole > 0), default=0.0)
+    return max(
+        (
+            need / whole
+            for need, whole in ((spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb))
+            if whole > 0
+        ),
+        default=0.0,
+    )
 
 
 def capacity(spec: Submission, cpus: float, gpus: float, memory_gb: float, most: int) -> int:
--- a/driftcleat/placement/victims.py
+++ b/driftcleat/placement/victims.py
@@ -35,8 +35,13 @@
 class Victims:
     """The tasks of one round's machines that could be stopped at all, and who may displace them."""
 
-    def __init__(self, machines: Iterable[Machine], job_of: Callable[[str], Job | None], guaranteed: set[str],
-                 loss: Callable[[Job, Machine, TaskKey], float]) -> None:
+    def __init__(
+        self,
+        machines: Iterable[Machine],
+        job_of: Callable[[str], Job | None],
+        guaranteed: set[str],
+        loss: Callable[[Job, Machine, TaskKey], float],
+    ) -> None:
         self.guaranteed, self.loss = guaranteed, loss
         # By machine: the lowest rank among them, whether one has no guarantee, and the tasks.
         self._found: dict[str, tuple[int, bool, list[tuple[Job, int]]]] = {}
@@ -46,8 +51,12 @@
             lowest, beyond = -1, False
             for (job_id, index), place in machine.tasks.items():
                 job = job_of(job_id)
-                if (job is None or job.state is not JobState.ACTIVE or place.stop is not None
-                        or (job.is_gang and job.spec.tasks > 1)):
+                if (
+                    job is None
+                    or job.state is not JobState.ACTIVE
+                    or place.stop is not None
+                    or (job.is_gang and job.spec.tasks > 1)
+                ):
                     continue
                 tasks.append((job, index))
                 lowest = max(lowest, job.level)
@@ -59,16 +68,22 @@
     def machines(self, job: Job) -> list[Machine]:
         """Return the machines on which this job may displace something."""
         level, guaranteed = job.level, job.id in self.guaranteed
-        return [self._machines[name] for name, (lowest, beyond, _) in self._found.items()
-                if lowest > level or (guaranteed and beyond)]
+        return [
+            self._machines[name]
+            for name, (lowest, beyond, _) in self._found.items()
+            if lowest > level or (guaranteed and beyond)
+        ]
 
     def on(self, machine: Machine, job: Job) -> list[Victim]:
         """Return what this job may displace on a machine."""
         found = self._found.get(machine.name)
         if found is None:
             return []
-        return [Victim(other, index, self.loss(other, machine, (other.id, index))) for other, index in found[2]
-                if may_displace(job, other, self.guaranteed)]
+        return [
+            Victim(other, index, self.loss(other, machine, (other.id, index)))
+            for other, index in found[2]
+            if may_displace(job, other, self.guaranteed)
+        ]
 
     def take(self, machine: Machine) -> None:
         """Something is stopped there for a job: nobody else displaces there in this round."""
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -19,46 +19,78 @@
     ttl: float = _ratio("leadership", 0.12, 0.05, 0.9, "leader lease, of the worker lease")
     renew: float = _ratio("leadership", 0.3, 0.1, 0.5, "pause between renewals, of the leader lease")
     drift: float = _ratio("leadership", 0.002, 0.0005, 0.1, "part of a lease given up for clock drift")
-    hold: float = _ratio("leadership", 2.0, 0.0, 20.0, "longest unsure time while a controller is silent, of the "
-                                                       "worker lease")
+    hold: float = _ratio(
+        "leadership", 2.0, 0.0, 20.0, "longest unsure time while a controller is silent, of the worker lease"
+    )
     deaf: float = _ratio("leadership", 0.45, 0.1, 2.0, "time with no report at all, of the worker lease")
-    ready: float = _ratio("leadership", 0.25, 0.05, 10.0, "time without reaching a leader until users are sent "
-                                                          "elsewhere, of the worker lease")
+    ready: float = _ratio(
+        "leadership",
+        0.25,
+        0.05,
+        10.0,
+        "time without reaching a leader until users are sent elsewhere, of the worker lease",
+    )
     sample: float = _ratio("placement", 64, 1, 1000, "machines looked at first for a place")
     budget: float = _ratio("placement", 0.01, 0.0005, 0.2, "time of one round, of the report interval")
     share: float = _ratio("placement", 0.8, 0.05, 1.0, "part of the processor's share that placement rounds may take")
-    patience: float = _ratio("placement", 2.0, 0.0, 20.0, "time a job waits for a machine that fetches no other "
-                                                          "image, of a machine's boot time")
-    evict: float = _ratio("placement", 0.5, 0.0, 100.0, "loss taken to start where an image is, of what fetching it "
-                                                        "costs")
-    refetch: float = _ratio("placement", 0.25, 0.0, 1.0, "part of a running task's fetch that its stop is reckoned "
-                                                         "to cost")
+    patience: float = _ratio(
+        "placement",
+        2.0,
+        0.0,
+        20.0,
+        "time a job waits for a machine that fetches no other image, of a machine's boot time",
+    )
+    evict: float = _ratio(
+        "placement", 0.5, 0.0, 100.0, "loss taken to start where an image is, of what fetching it costs"
+    )
+    refetch: float = _ratio(
+        "placement", 0.25, 0.0, 1.0, "part of a running task's fetch that its stop is reckoned to cost"
+    )
     scan: float = _ratio("placement", 1.67, 0.2, 20.0, "pause between scans, of the report interval")
-    answer: float = _ratio("placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, "
-                                                        "of the report interval")
+    answer: float = _ratio(
+        "placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, of the report interval"
+    )
     lost: float = _ratio("fleet", 1.35, 0.5, 10.0, "silence until a machine is given up, of the worker lease")
-    cut: float = _ratio("fleet", 4.5, 0.5, 20.0, "silence until machines are given up that fell silent with many "
-                                                 "others, of the worker lease")
-    many: float = _ratio("fleet", 0.05, 0.0, 1.0, "part of the machines that fall silent together by a network's "
-                                                  "fault rather than each by its own")
-    fence: float = _ratio("fleet", 0.35, 0.1, 0.8, "time until a machine that keeps a cancelled task is "
-                                                   "returned, of the time a cancellation has")
+    cut: float = _ratio(
+        "fleet",
+        4.5,
+        0.5,
+        20.0,
+        "silence until machines are given up that fell silent with many others, of the worker lease",
+    )
+    many: float = _ratio(
+        "fleet",
+        0.05,
+        0.0,
+        1.0,
+        "part of the machines that fall silent together by a network's fault rather than each by its own",
+    )
+    fence: float = _ratio(
+        "fleet",
+        0.35,
+        0.1,
+        0.8,
+        "time until a machine that keeps a cancelled task is returned, of the time a cancellation has",
+    )
     idle: float = _ratio("fleet", 0.8, 0.0, 100.0, "idle time until a machine is returned, of its boot time")
     late: float = _ratio("fleet", 2.2, 1.0, 20.0, "boot time until a machine is replaced, of its usual one")
     boots: float = _ratio("fleet", 1.25, 0.5, 5.0, "boot time to reckon with, of the usual one")
     doubt: float = _ratio("fleet", 2.0, 0.5, 10.0, "run time to reckon with, of the owner's estimate")
-    headroom: float = _ratio("fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a "
-                                                      "machine boots")
+    headroom: float = _ratio(
+        "fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a machine boots"
+    )
     slack: float = _ratio("fleet", 0.3, 0.0, 2.0, "room rented beyond what waiting services of the highest rank need")
-    thin: float = _ratio("fleet", 5.0, 0.0, 1000.0, "time without an exit until a machine's last replicas are moved, "
-                                                    "of its boot time")
+    thin: float = _ratio(
+        "fleet", 5.0, 0.0, 1000.0, "time without an exit until a machine's last replicas are moved, of its boot time"
+    )
     window: float = _ratio("fleet", 40.0, 5.0, 1000.0, "time over which arrivals are counted, of the report interval")
     reserve: float = _ratio("api", 0.15, 0.0, 0.9, "changes kept free for users, of the changes a second")
     tidy: float = _ratio("api", 0.35, 0.0, 0.9, "changes left free by what only tidies up, of the changes a second")
     queue: float = _ratio("api", 4.0, 0.1, 100.0, "submissions waiting at most, of the changes a second")
     poll: float = _ratio("api", 0.55, 0.1, 10.0, "time within which a question is answered, of the report interval")
-    request: float = _ratio("api", 1.2, 0.2, 10.0, "time within which a submission or cancellation is answered, of "
-                                                   "the report interval")
+    request: float = _ratio(
+        "api", 1.2, 0.2, 10.0, "time within which a submission or cancellation is answered, of the report interval"
+    )
     retry: float = _ratio("api", 0.34, 0.1, 10.0, "Retry-After, of the report interval")
 
 
--- a/driftcleat/settings/platform.py
+++ b/driftcleat/settings/platform.py
@@ -181,8 +181,13 @@
         raise deployment.fail("zones", "must be a list of names")
     teams = {}
     for table in deployment.tables_at("teams"):
-        team = Team(table.text("name"), table.number("cpus", 0.0), table.number("cpus_max", 0.0),
-                    table.number("gpus", 0.0), table.number("gpus_max", 0.0))
+        team = Team(
+            table.text("name"),
+            table.number("cpus", 0.0),
+            table.number("cpus_max", 0.0),
+            table.number("gpus", 0.0),
+            table.number("gpus_max", 0.0),
+        )
         if team.name in teams:
             raise table.fail("name", "appears twice")
         teams[team.name] = team
@@ -191,10 +196,13 @@
         job_class = table.value("class", None)
         if job_class is not None:
             job_class = table.text("class")
-        objectives.append(Objective(table.text("kind"), job_class, table.number("within_s", 0.0),
-                                    table.number("share", 0.0)))
-    peers = tuple(Peer(table.text("label"), table.text("domain", "unknown"), table.address("address"))
-                  for table in top.tables_at("known"))
+        objectives.append(
+            Objective(table.text("kind"), job_class, table.number("within_s", 0.0), table.number("share", 0.0))
+        )
+    peers = tuple(
+        Peer(table.text("label"), table.text("domain", "unknown"), table.address("address"))
+        for table in top.tables_at("known")
+    )
     label = top.text("label")
     names = [label, *(peer.label for peer in peers)]
     if len(set(names)) != len(names):
@@ -203,10 +211,19 @@
     if fd_limit < LEAST_DESCRIPTORS:
         raise resources.fail("fd_limit", f"must be at least {LEAST_DESCRIPTORS}")
     return Platform(
-        label=label, zone=top.text("domain"), bind=top.address("bind"), back=top.address("back"), peers=peers,
-        cloud=external.address("cloud"), state=external.address("state"), zones=tuple(zones),
-        clock_off_s=deployment.number("clock_off_ms", 0.0) / 1000, teams=teams, objectives=tuple(objectives),
-        report_s=workers.number("report_s", positive=True), lease_s=workers.number("lease_s", positive=True),
+        label=label,
+        zone=top.text("domain"),
+        bind=top.address("bind"),
+        back=top.address("back"),
+        peers=peers,
+        cloud=external.address("cloud"),
+        state=external.address("state"),
+        zones=tuple(zones),
+        clock_off_s=deployment.number("clock_off_ms", 0.0) / 1000,
+        teams=teams,
+        objectives=tuple(objectives),
+        report_s=workers.number("report_s", positive=True),
+        lease_s=workers.number("lease_s", positive=True),
         gang_wait_s=workers.number("gang_wait_s", positive=True),
         gang_peer_s=workers.number("gang_peer_s", positive=True),
         cancel_s=workers.number("cancel_s", positive=True),
@@ -214,8 +231,11 @@
         write_rps=min(write_rps, coming.number("write_rps", write_rps, positive=True)),
         value_bytes=int(min(value_kb, coming.number("value_kb", value_kb, positive=True)) * 1024),
         txn_ops=min(txn_ops, coming.count("txn_ops", txn_ops)),
-        first_value_bytes=int(value_kb * 1024), first_txn_ops=txn_ops,
-        cloud_rps=cloud.number("rps", positive=True), list_lag_s=cloud.number("list_lag_s"),
+        first_value_bytes=int(value_kb * 1024),
+        first_txn_ops=txn_ops,
+        cloud_rps=cloud.number("rps", positive=True),
+        list_lag_s=cloud.number("list_lag_s"),
         core_share=resources.number("core_share", 1.0, positive=True),
-        memory_mb=resources.number("memory_mb", 256.0, positive=True), fd_limit=fd_limit,
+        memory_mb=resources.number("memory_mb", 256.0, positive=True),
+        fd_limit=fd_limit,
     )
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -91,8 +91,14 @@
     Guards against a renewal that waits for a free connection behind reads and watches that hang.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, lease_session: aiohttp.ClientSession, address: str,
-                 limits: StoreLimits, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        lease_session: aiohttp.ClientSession,
+        address: str,
+        limits: StoreLimits,
+        clock: Callable[[], float],
+    ) -> None:
         self.session, self.lease_session = session, lease_session
         self.base, self.limits, self.clock = f"http://{address}", limits, clock
         self.requests = Bucket(limits.rps * 0.9, clock)
@@ -101,9 +107,17 @@
         self.refused_at: float | None = None
         self.malformed = 0
 
-    async def _call(self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None,
-                    params: dict[str, str] | None = None, urgent: bool = False,
-                    most_wait_s: float | None = None, watching: bool = False) -> tuple[int, bytes]:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float | None = None,
+        params: dict[str, str] | None = None,
+        urgent: bool = False,
+        most_wait_s: float | None = None,
+        watching: bool = False,
+    ) -> tuple[int, bytes]:
         if not urgent:
             while (delay := self.requests.delay(1)) > 0:
                 if most_wait_s is not None and delay > most_wait_s:
@@ -111,8 +125,9 @@
                 await asyncio.sleep(delay)
         self.requests.take(1)
         try:
-            status, data = await self._exchange(method, path, body, params,
-                                                timeout_s or self.limits.timeout_s, urgent)
+            status, data = await self._exchange(
+                method, path, body, params, timeout_s or self.limits.timeout_s, urgent
+            )
         except aiohttp.ClientConnectorError as error:
             self.refused_at = self.clock()
             raise Refused(f"no connection: {error}") from None
@@ -133,12 +148,20 @@
             raise Rejected(str(self._bad(f"{method} {path}: {data[:200]!r}")))
         return status, data
 
-    async def _exchange(self, method: str, path: str, body: bytes | None, params: dict[str, str] | None,
-                        timeout_s: float, urgent: bool) -> tuple[int, bytes]:
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        params: dict[str, str] | None,
+        timeout_s: float,
+        urgent: bool,
+    ) -> tuple[int, bytes]:
         """Send one request; return status and body."""
         session = self.lease_session if urgent else self.session
-        async with session.request(method, self.base + path, data=body, params=params,
-                                   timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+        async with session.request(
+            method, self.base + path, data=body, params=params, timeout=aiohttp.ClientTimeout(total=timeout_s)
+        ) as response:
             return response.status, await response.read()
 
     def _bad(self, why: str) -> Malformed:
@@ -166,8 +189,9 @@
         params = {"under": prefix, "page": str(limit)}
         if after is not None:
             params["from"] = after
-        status, data = await self._call("GET", "/store", params=params,
-                                        timeout_s=timeout_s or self.limits.timeout_s * 3)
+        status, data = await self._call(
+            "GET", "/store", params=params, timeout_s=timeout_s or self.limits.timeout_s * 3
+        )
         return self._expect(status, data, messages.Page)
 
     async def read_all(self, prefix: str, limit: int = 500) -> list[messages.Item]:
@@ -216,12 +240,23 @@
     async def watch(self, prefix: str, revision: int, wait_s: float) -> messages.WatchAnswer | None:
         """Wait for a change under a prefix; None when the revision is too old."""
         params = {"under": prefix, "from": str(revision), "waitMs": str(round(wait_s * 1000))}
-        status, data = await self._call("GET", "/watch", params=params,
-                                        timeout_s=wait_s + self.limits.timeout_s, watching=True)
+        status, data = await self._call(
+            "GET", "/watch", params=params, timeout_s=wait_s + self.limits.timeout_s, watching=True
+        )
         if status == 410:
             return None
         return self._expect(status, data, messages.WatchAnswer)
 
 
-__all__ = ["Bucket", "Conflict", "Malformed", "NoLease", "Refused", "Rejected", "StoreClient", "StoreError",
-           "StoreLimits", "Unknown"]
+__all__ = [
+    "Bucket",
+    "Conflict",
+    "Malformed",
+    "NoLease",
+    "Refused",
+    "Rejected",
+    "StoreClient",
+    "StoreError",
+    "StoreLimits",
+    "Unknown",
+]
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -112,8 +112,14 @@
     new job by the lower ones, and jobs of before are moved.
     """
 
-    def __init__(self, value_bytes: int, txn_ops: int, first_value_bytes: int | None = None,
-                 first_txn_ops: int | None = None, zones: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        value_bytes: int,
+        txn_ops: int,
+        first_value_bytes: int | None = None,
+        first_txn_ops: int | None = None,
+        zones: tuple[str, ...] = (),
+    ) -> None:
         self.value_bytes, self.txn_ops = value_bytes, txn_ops
         self.first_value_bytes = first_value_bytes if first_value_bytes is not None else value_bytes
         self.first_txn_ops = first_txn_ops if first_txn_ops is not None else txn_ops
@@ -179,15 +185,25 @@
         for index in range(low, high):
             if job.status[index] == TaskState.PLACED:
                 groups.setdefault(job.places[index], []).append(index)
-        rows = [(place.machine, place.zone, place.attempt, ranges(group), place.stop)
-                for place, group in groups.items()]
+        rows = [
+            (place.machine, place.zone, place.attempt, ranges(group), place.stop) for place, group in groups.items()
+        ]
         return ranges(done), rows
 
     def head(self, job: Job) -> JobRecord:
         """Return a job's head record."""
         done, rows = self._tasks(job, 0, self.chunk_tasks(job))
-        return JobRecord(spec_alone(job.spec), job.submitted, job.state.value, job.cancelled_at, job.launch, done,
-                         rows, job.split, pack_ids(job.spec.needs or ()))
+        return JobRecord(
+            spec_alone(job.spec),
+            job.submitted,
+            job.state.value,
+            job.cancelled_at,
+            job.launch,
+            done,
+            rows,
+            job.split,
+            pack_ids(job.spec.needs or ()),
+        )
 
     def chunk(self, job: Job, number: int) -> ChunkRecord:
         """Return one of a job's further records."""
@@ -210,7 +226,7 @@
 
 def split_chunk_key(key: str) -> tuple[str, int, int]:
     """Return job, split and number of a chunk's key."""
-    job_id, _, rest = key[len(CHUNKS):].rpartition("/")
+    job_id, _, rest = key[len(CHUNKS) :].rpartition("/")
     split, dot, number = rest.rpartition(".")
     return job_id, int(split) if dot else 0, int(number)
 
--- a/driftcleat/term.py
+++ b/driftcleat/term.py
@@ -87,8 +87,17 @@
 class Term:
     """The decisions of one term."""
 
-    def __init__(self, platform: Platform, tuning: Tuning, cluster: Cluster, layout: Layout, rng: random.Random,
-                 clock: Callable[[], float], wall: Callable[[], float], brand_new: bool = False) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        tuning: Tuning,
+        cluster: Cluster,
+        layout: Layout,
+        rng: random.Random,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        brand_new: bool = False,
+    ) -> None:
         self.platform, self.tuning, self.cluster, self.layout = platform, tuning, cluster, layout
         self.rng, self.clock, self.wall = rng, clock, wall
         now = clock()
@@ -189,10 +198,20 @@
     def has_work(self) -> bool:
         """Whether a batch built now may hold something."""
         now = self.clock()
-        return bool(self.submissions or self.cancels or self.cluster.dirty or self.new_rentals
-                    or self.settled_rentals or self.garbage or self.notes or self.check_drains
-                    or self.cluster.needs.doomed or self.must_latch or self._to_move() is not None
-                    or self._round_due(now))
+        return bool(
+            self.submissions
+            or self.cancels
+            or self.cluster.dirty
+            or self.new_rentals
+            or self.settled_rentals
+            or self.garbage
+            or self.notes
+            or self.check_drains
+            or self.cluster.needs.doomed
+            or self.must_latch
+            or self._to_move() is not None
+            or self._round_due(now)
+        )
 
     @property
     def must_latch(self) -> bool:
@@ -221,8 +240,9 @@
         most = txn_ops - 1
         batch = Batch(self.cluster.jobs, self.layout.chunk_of, most, 56 * 1024, self.layout.must_move)
         # Only who knows that every controller is new hands such a job in.
-        self.latch_wanted = self.latch_wanted or any(ticket.spec is not None and ticket.spec.needs
-                                                     for ticket in self.submissions)
+        self.latch_wanted = self.latch_wanted or any(
+            ticket.spec is not None and ticket.spec.needs for ticket in self.submissions
+        )
         if self.must_latch:
             batch.put(VERSION, DATA_VERSION)
             batch.after.append(self._switch)
@@ -252,8 +272,9 @@
             batch.undo.append(partial(self.notes.__setitem__, key, value))
         self.move_first.update(dict.fromkeys(sorted(batch.blocked)))
         self.in_flight = {place.machine for _, _, _, place in batch.moves if place is not None}
-        self.cluster.leaving = {(job_id, index, old.attempt) for job_id, index, old, new in batch.moves
-                                if old is not None and new is None}
+        self.cluster.leaving = {
+            (job_id, index, old.attempt) for job_id, index, old, new in batch.moves if old is not None and new is None
+        }
         return batch
 
     def _switch(self) -> None:
@@ -272,8 +293,11 @@
         if self.moving is not None:
             # Its chunks are garbage, or written once more.
             self.moving = None
-        self.cluster.dirty.update(name for name, machine in self.cluster.machines.items()
-                                  if machine.report is not None or machine.state is MachineState.GONE)
+        self.cluster.dirty.update(
+            name
+            for name, machine in self.cluster.machines.items()
+            if machine.report is not None or machine.state is MachineState.GONE
+        )
         self.cluster.leaving.clear()
         self.cluster.doubted_cancels.clear()
         self.check_drains = True
@@ -309,8 +333,9 @@
             move = self.moving
             chunks = -(-job.spec.tasks // move.split)
             while move.written < chunks and batch.room_extra():
-                batch.put(chunk_key(job.id, move.written, move.split),
-                          self.layout.chunk_in(job, move.split, move.written))
+                batch.put(
+                    chunk_key(job.id, move.written, move.split), self.layout.chunk_in(job, move.split, move.written)
+                )
                 move.versions[move.written] = 0
                 move.written += 1
             if move.written < chunks or not batch.room_extra():
@@ -327,6 +352,7 @@
             self.moving = None
             self.unmoved.discard(job.id)
             self.note_room()
+
         return ended
 
     def commit(self, batch: Batch, revision: int, garbage: list[str]) -> None:
@@ -389,7 +415,7 @@
         """Keep what a machine has cached: a new leader would otherwise fetch it all again elsewhere."""
         images = [(image, size_gb) for image, size_gb in machine.images.items() if image in machine.fetched]
         while len(wire.encode(MachineRecord(images))) > self.layout.value_bytes:
-            images = images[1 + len(images) // 8:]
+            images = images[1 + len(images) // 8 :]
         names = tuple(sorted(image for image, _ in images))
         if names != self.image_notes.get(machine.name):
             self.image_notes[machine.name] = names
@@ -523,8 +549,10 @@
 
     def _open_later(self, rental: OpenRental) -> Callable[[], None]:
         """Send a rental only once its name is stored."""
+
         def opened() -> None:
             self.open_rentals[rental.name] = rental
+
         return opened
 
     # -- placement ----------------------------------------------------------------------------------------
@@ -563,8 +591,10 @@
         cpus, gpus = (usage.cpus, usage.gpus) if usage is not None else (0.0, 0.0)
         if team is None:
             return Limits(0.0, 0.0)
-        return Limits(team.cpus_max - cpus if team.cpus_max > 0 else INFINITE,
-                      team.gpus_max - gpus if team.gpus_max > 0 else INFINITE)
+        return Limits(
+            team.cpus_max - cpus if team.cpus_max > 0 else INFINITE,
+            team.gpus_max - gpus if team.gpus_max > 0 else INFINITE,
+        )
 
     def takes_tasks(self, machine: Machine, now: float) -> bool:
         """Whether a machine may be given tasks: up, heard of lately, and it heeds our answers.
@@ -572,9 +602,14 @@
         Guards against placing on a machine of which only an old copy of a report arrived, or whose reports
         arrive while our answers do not reach it.
         """
-        return (machine.state is MachineState.UP and machine.type is not None and machine.trusted
-                and not machine.unheeded and machine.full_until <= now
-                and machine.heard_at >= now - self.platform.report_s * 2.0)
+        return (
+            machine.state is MachineState.UP
+            and machine.type is not None
+            and machine.trusted
+            and not machine.unheeded
+            and machine.full_until <= now
+            and machine.heard_at >= now - self.platform.report_s * 2.0
+        )
 
     def rooms(self, now: float, least: tuple[float, float, float] = (0.0, 0.0, 0.0)) -> list[Room]:
         """Return the rooms of machines that take tasks and have at least this much free."""
@@ -582,8 +617,13 @@
         out = []
         for machine in self.cluster.machines.values():
             kind = machine.type
-            if (kind is not None and kind.gpus - machine.gpus >= gpus and kind.cpus - machine.cpus >= cpus
-                    and kind.memory_gb - machine.memory_gb >= memory_gb and self.takes_tasks(machine, now)):
+            if (
+                kind is not None
+                and kind.gpus - machine.gpus >= gpus
+                and kind.cpus - machine.cpus >= cpus
+                and kind.memory_gb - machine.memory_gb >= memory_gb
+                and self.takes_tasks(machine, now)
+            ):
                 out.append(self._room(machine, now))
         return out
 
@@ -601,21 +641,30 @@
         self.counters.rounds += 1
         queued, guaranteed = self.ordered_jobs()
         specs = [job.spec for job in queued]
-        least = (min((spec.cpus for spec in specs), default=INFINITE),
-                 min((spec.gpus for spec in specs), default=INFINITE),
-                 min((spec.memory_gb for spec in specs), default=INFINITE))
-        work = PlacementRound(self.rooms(now, least), round(self.tuning.sample), self.rng,
-                              lambda job_id, index: (job_id, index) in self.cluster.ghosts)
-        self.held = {name: held for name, held in self.held.items()
-                     if held[1] > now and held[0] in self.cluster.jobs}
-        self._booting = {(machine.type.name, machine.zone, machine.spot) for machine in self.cluster.machines.values()
-                         if machine.state is MachineState.BOOTING and machine.type is not None
-                         and now - machine.rented_at < machine.type.boot_s * self.tuning.late}
+        least = (
+            min((spec.cpus for spec in specs), default=INFINITE),
+            min((spec.gpus for spec in specs), default=INFINITE),
+            min((spec.memory_gb for spec in specs), default=INFINITE),
+        )
+        work = PlacementRound(
+            self.rooms(now, least),
+            round(self.tuning.sample),
+            self.rng,
+            lambda job_id, index: (job_id, index) in self.cluster.ghosts,
+        )
+        self.held = {name: held for name, held in self.held.items() if held[1] > now and held[0] in self.cluster.jobs}
+        self._booting = {
+            (machine.type.name, machine.zone, machine.spot)
+            for machine in self.cluster.machines.values()
+            if machine.state is MachineState.BOOTING
+            and machine.type is not None
+            and now - machine.rented_at < machine.type.boot_s * self.tuning.late
+        }
         scene = _Scene(work, guaranteed, now)
         limits: dict[str, Limits] = {}
         if self.resume_behind is not None:
             at = next((n for n, job in enumerate(queued) if job.id == self.resume_behind), -1)
-            queued = queued[at + 1:] + queued[:at + 1]
+            queued = queued[at + 1 :] + queued[: at + 1]
             self.resume_behind = None
         self.room_changed = False
         retry_at = INFINITE
@@ -674,8 +723,15 @@
             for index, room in placed:
                 batch.move(job.id, index, TaskState.PLACED, Place(room.name, room.zone, attempt))
             self.counters.placed += len(placed)
-            log.debug("job %s (%s, image %s of %.1f GB) attempt %d: %s", job.id, job.spec.job_class, job.spec.image,
-                      job.spec.image_gb, attempt, ", ".join(f"{index} on {room.name}" for index, room in placed[:8]))
+            log.debug(
+                "job %s (%s, image %s of %.1f GB) attempt %d: %s",
+                job.id,
+                job.spec.job_class,
+                job.spec.image,
+                job.spec.image_gb,
+                attempt,
+                ", ".join(f"{index} on {room.name}" for index, room in placed[:8]),
+            )
             if job.is_gang or len(placed) == job.queued:
                 self._end_claims(job.id)
         elif job.queued and limit.fits(job.spec, job.queued if job.is_gang else 1):
@@ -708,8 +764,11 @@
     def _make_room_by_image(self, batch: Batch, job: Job, scene: "_Scene", limit: Limits) -> bool:
         """Stop lower work on machines that have the image, if that loses less than fetching it elsewhere."""
         spec, work = job.spec, scene.work
-        if (spec.kind is not Kind.SERVICE and spec.tasks > 1) or not limit.fits(spec, 1) or (
-                self.claims.get(job.id, 0.0) > scene.now):
+        if (
+            (spec.kind is not Kind.SERVICE and spec.tasks > 1)
+            or not limit.fits(spec, 1)
+            or (self.claims.get(job.id, 0.0) > scene.now)
+        ):
             return False
         work.most_fetches = MANY
         best = work.find(spec, spec.zone, lambda room: True)
@@ -720,8 +779,9 @@
         for room in work.rooms:
             if room.fetch_rank(spec.image) == 0 and allowed(spec, room.type, room.zone, room.spot):
                 held = counts.get(room.zone, 0)
-                counts[room.zone] = held + capacity(spec, room.cpus, room.gpus, room.memory_gb,
-                                                    spread_limit(spec) - held)
+                counts[room.zone] = held + capacity(
+                    spec, room.cpus, room.gpus, room.memory_gb, spread_limit(spec) - held
+                )
         if sum(counts.values()) >= spec.tasks - job.done:
             return False
         fetch = _fetch_s(spec, kind) * _size(spec)
@@ -737,8 +797,11 @@
         a machine's rate, so images that are mixed on one machine all come late."""
         for name, zone, spot in self._booting:
             kind = self.cluster.types.get(name)
-            if (kind is not None and allowed(job.spec, name, zone, spot)
-                    and fits(job.spec, kind.cpus, kind.gpus, kind.memory_gb)):
+            if (
+                kind is not None
+                and allowed(job.spec, name, zone, spot)
+                and fits(job.spec, kind.cpus, kind.gpus, kind.memory_gb)
+            ):
                 return self._waited_s(job) < kind.boot_s * self.tuning.patience
         return False
 
@@ -759,9 +822,16 @@
 
     def _victims(self, batch: Batch, scene: "_Scene") -> Victims:
         if scene.victims is None:
-            scene.victims = Victims((machine for machine in self.cluster.machines.values()
-                                     if machine.tasks and self.takes_tasks(machine, scene.now)),
-                                    batch.get, scene.guaranteed, self._loss)
+            scene.victims = Victims(
+                (
+                    machine
+                    for machine in self.cluster.machines.values()
+                    if machine.tasks and self.takes_tasks(machine, scene.now)
+                ),
+                batch.get,
+                scene.guaranteed,
+                self._loss,
+            )
         return scene.victims
 
     def _preempt_for(self, batch: Batch, job: Job, scene: "_Scene") -> None:
@@ -798,8 +868,15 @@
                 plans.append(replace(plan, cost=plan.cost + fetch * self.tuning.evict))
         return sorted(plans, key=lambda plan: (plan.cost, plan.room.name))
 
-    def _displace(self, batch: Batch, job: Job, scene: "_Scene", machines: list[Machine], most_cost: float,
-                  counts: dict[str, int]) -> bool:
+    def _displace(
+        self,
+        batch: Batch,
+        job: Job,
+        scene: "_Scene",
+        machines: list[Machine],
+        most_cost: float,
+        counts: dict[str, int],
+    ) -> bool:
         """Stop the cheapest work that the rules let this job displace on these machines, for several tasks.
 
         `counts` says how many of its tasks have a place, or will have, by zone.
@@ -832,8 +909,12 @@
         by_zone: dict[str, list[Machine]] = {}
         for machine in self.cluster.machines.values():
             kind = machine.type
-            if (kind is not None and fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
-                    and allowed(spec, kind.name, machine.zone, machine.spot) and self.takes_tasks(machine, now)):
+            if (
+                kind is not None
+                and fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
+                and allowed(spec, kind.name, machine.zone, machine.spot)
+                and self.takes_tasks(machine, now)
+            ):
                 by_zone.setdefault(machine.zone if spec.one_zone else "", []).append(machine)
         best: tuple[float, list[Preemption]] | None = None
         for machines in by_zone.values():
@@ -921,22 +1002,40 @@
         silence = self.silence(now)
         demands.extend(self._feared_lost(silence, now))
         demands.extend(self.expected(now))
-        rooms = [_plain_room(machine, self.platform) for machine in self.cluster.machines.values()
-                 if machine.state in (MachineState.UP, MachineState.BOOTING)]
+        rooms = [
+            _plain_room(machine, self.platform)
+            for machine in self.cluster.machines.values()
+            if machine.state in (MachineState.UP, MachineState.BOOTING)
+        ]
         for rental in [*self.open_rentals.values(), *self.new_rentals]:
             record = rental.record
             kind = self.cluster.types.get(record.type)
             if kind is not None:
-                rooms.extend(Room(f"{rental.name}+{number}", kind.name, record.zone, record.spot, kind.cpus,
-                                  kind.gpus, kind.memory_gb, away=self.platform.away(record.zone))
-                             for number in range(record.count))
+                rooms.extend(
+                    Room(
+                        f"{rental.name}+{number}",
+                        kind.name,
+                        record.zone,
+                        record.spot,
+                        kind.cpus,
+                        kind.gpus,
+                        kind.memory_gb,
+                        away=self.platform.away(record.zone),
+                    )
+                    for number in range(record.count)
+                )
         if log.isEnabledFor(logging.DEBUG):
             log.debug("demands %s", [(demand.spec.job_class, demand.tasks) for demand in demands])
         free = [room for room in rooms if room is not None and room.gpus + room.cpus > SLACK]
         dark = {zone for kind in self.cluster.types.values() for zone in kind.zones if silence.dark_now(zone)}
-        return plan_fleet(demands, free, self.cluster.types,
-                          lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now or offer[1] in dark, 64,
-                          self.platform.away)
+        return plan_fleet(
+            demands,
+            free,
+            self.cluster.types,
+            lambda offer: self.refused.get(offer, (0.0, 0.0))[0] > now or offer[1] in dark,
+            64,
+            self.platform.away,
+        )
 
     def _feared_lost(self, silence: Silence, now: float) -> list[Demand]:
         """Return the work of the two highest ranks on machines that fell silent with many others, whose leases must
@@ -946,27 +1045,37 @@
         """
         tasks: dict[str, int] = {}
         for machine in self.cluster.machines.values():
-            if silence.together(machine.zone) and not silence.dark(machine.zone) and (
-                    self._runs(machine) and self._silent_s(machine, now) > self.platform.lease_s):
+            if (
+                silence.together(machine.zone)
+                and not silence.dark(machine.zone)
+                and (self._runs(machine) and self._silent_s(machine, now) > self.platform.lease_s)
+            ):
                 for job_id, _ in machine.tasks:
                     tasks[job_id] = tasks.get(job_id, 0) + 1
         jobs = ((self.cluster.jobs.get(job_id), count) for job_id, count in tasks.items())
-        return [Demand(job.spec, count, {}) for job, count in jobs
-                if job is not None and job.state is JobState.ACTIVE and job.level <= 1]
+        return [
+            Demand(job.spec, count, {})
+            for job, count in jobs
+            if job is not None and job.state is JobState.ACTIVE and job.level <= 1
+        ]
 
     def _runs(self, machine: Machine) -> bool:
         """Whether a machine is up as far as its reports or the cloud's list have told."""
         return machine.state in (MachineState.UP, MachineState.DRAINING) or (
-            machine.state is MachineState.BOOTING and machine.running_since is not None)
+            machine.state is MachineState.BOOTING and machine.running_since is not None
+        )
 
     def expected(self, now: float) -> list[Demand]:
         """Return the arrivals to keep room for: those of the time a machine needs to boot, of the classes that
         could not wait for it."""
         out: list[Demand] = []
         for spec, rate, mean in self.arrivals.rates(now):
-            kinds = [kind for kind in self.cluster.types.values()
-                     if fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
-                     and (spec.types is None or kind.name in spec.types)]
+            kinds = [
+                kind
+                for kind in self.cluster.types.values()
+                if fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
+                and (spec.types is None or kind.name in spec.types)
+            ]
             if not kinds or self._can_wait(spec, kinds):
                 continue
             jobs = rate * min(kind.boot_s for kind in kinds)
@@ -978,9 +1087,13 @@
     def _can_wait(self, spec: Submission, kinds: list[MachineType]) -> bool:
         """Whether a job meets its class's aims although it has to wait for a machine to boot and fetch."""
         ready_s = self.platform.report_s + min(
-            kind.boot_s * self.tuning.boots + _fetch_s(spec, kind) for kind in kinds)
-        aims = [(objective.within_s, objective.kind) for objective in self.platform.objectives
-                if objective.job_class == spec.job_class and objective.kind in ("wait", "finished")]
+            kind.boot_s * self.tuning.boots + _fetch_s(spec, kind) for kind in kinds
+        )
+        aims = [
+            (objective.within_s, objective.kind)
+            for objective in self.platform.objectives
+            if objective.job_class == spec.job_class and objective.kind in ("wait", "finished")
+        ]
         if spec.deadline_s is not None:
             aims.append((spec.deadline_s, "finished"))
         if not aims:
@@ -1001,8 +1114,10 @@
         queued: dict[str, int] = {}
         for job in self.cluster.jobs.values():
             queued[job.spec.job_class] = queued.get(job.spec.job_class, 0) + job.queued
-        text = ", ".join(f"{name}: {row[0]} ({row[1]} booting, {row[2]} empty, {row[3]} free gpus)"
-                         for name, row in sorted(rows.items()))
+        text = ", ".join(
+            f"{name}: {row[0]} ({row[1]} booting, {row[2]} empty, {row[3]} free gpus)"
+            for name, row in sorted(rows.items())
+        )
         return f"{text}; queued {queued}"
 
     def note_refusal(self, offer: Offer, now: float) -> None:
@@ -1033,8 +1148,11 @@
         """Return machines that are to be returned: idle, drained, late, silent, or in a cancellation's way."""
         platform, tuning = self.platform, self.tuning
         settled = now - self.cluster.started_at > platform.lease_s
-        up = [machine for machine in self.cluster.machines.values()
-              if machine.state in (MachineState.UP, MachineState.DRAINING)]
+        up = [
+            machine
+            for machine in self.cluster.machines.values()
+            if machine.state in (MachineState.UP, MachineState.DRAINING)
+        ]
         # Many that do not heed us at once: more likely we are too slow than they all deaf.
         many_deaf = sum(self._deaf(machine, now) for machine in up) > max(2, len(up) // 3)
         silence = self.silence(now)
@@ -1055,8 +1173,10 @@
             elif self._deaf(machine, now):
                 if settled and not many_deaf:
                     out.append(machine)
-            elif not machine.tasks and (machine.state is MachineState.DRAINING or (
-                    machine.name not in plan.used and now - machine.idle_since > boot_s * tuning.idle)):
+            elif not machine.tasks and (
+                machine.state is MachineState.DRAINING
+                or (machine.name not in plan.used and now - machine.idle_since > boot_s * tuning.idle)
+            ):
                 out.append(machine)
         return out
 
@@ -1077,10 +1197,14 @@
         Guards against lost work that waits although there is room for it. In a zone that is dark as a whole the work
         may well go on, if there is a controller in it that answers reports.
         """
-        given_up = [machine for machine in self.cluster.machines.values()
-                    if self._runs(machine) and silence.together(machine.zone)
-                    and not (silence.dark(machine.zone) and self.platform.controllers_in(machine.zone))
-                    and silence.alone_s < self._silent_s(machine, now) <= silence.together_s]
+        given_up = [
+            machine
+            for machine in self.cluster.machines.values()
+            if self._runs(machine)
+            and silence.together(machine.zone)
+            and not (silence.dark(machine.zone) and self.platform.controllers_in(machine.zone))
+            and silence.alone_s < self._silent_s(machine, now) <= silence.together_s
+        ]
         if not given_up:
             return set()
         by_image: dict[str, list[Room]] = {}
@@ -1089,12 +1213,21 @@
                 by_image.setdefault(image, []).append(room)
         out: set[str] = set()
         for machine in given_up:
-            specs = [job.spec for job_id, _ in machine.tasks
-                     if (job := self.cluster.jobs.get(job_id)) is not None and job.state is JobState.ACTIVE]
+            specs = [
+                job.spec
+                for job_id, _ in machine.tasks
+                if (job := self.cluster.jobs.get(job_id)) is not None and job.state is JobState.ACTIVE
+            ]
             for spec in specs:
-                found = next((room for room in by_image.get(spec.image, ())
-                              if fits(spec, room.cpus, room.gpus, room.memory_gb)
-                              and allowed(spec, room.type, room.zone, room.spot)), None)
+                found = next(
+                    (
+                        room
+                        for room in by_image.get(spec.image, ())
+                        if fits(spec, room.cpus, room.gpus, room.memory_gb)
+                        and allowed(spec, room.type, room.zone, room.spot)
+                    ),
+                    None,
+                )
                 if found is None:
                     break
                 found.take(spec)
@@ -1104,8 +1237,9 @@
 
     def silence(self, now: float) -> Silence:
         """Return which machines are silent, by zone, as it looks now."""
-        silence = Silence(self.platform.lease_s * self.tuning.lost, self.platform.lease_s * self.tuning.cut,
-                          self.tuning.many)
+        silence = Silence(
+            self.platform.lease_s * self.tuning.lost, self.platform.lease_s * self.tuning.cut, self.tuning.many
+        )
         for machine in self.cluster.machines.values():
             if self._runs(machine):
                 silence.count(machine.zone, self._silent_s(machine, now))
@@ -1132,21 +1266,38 @@
         """
         jobs = self.cluster.jobs
         settled = now - self.cluster.started_at > self.platform.lease_s
-        if not settled or any(job.queued for job in jobs.values()) or any(
-                machine.state is MachineState.DRAINING for machine in self.cluster.machines.values()):
+        if (
+            not settled
+            or any(job.queued for job in jobs.values())
+            or any(machine.state is MachineState.DRAINING for machine in self.cluster.machines.values())
+        ):
             return None
         best: Machine | None = None
         best_cost = 0.0
         rooms: list[Room] | None = None
         for machine in self.cluster.machines.values():
             kind = machine.type
-            if (machine.state is not MachineState.UP or kind is None or not machine.tasks
-                    or machine.name in self.in_flight or now - machine.changed_at < kind.boot_s * self.tuning.thin):
+            if (
+                machine.state is not MachineState.UP
+                or kind is None
+                or not machine.tasks
+                or machine.name in self.in_flight
+                or now - machine.changed_at < kind.boot_s * self.tuning.thin
+            ):
                 continue
             specs = [jobs[key[0]].spec for key in machine.tasks if key[0] in jobs]
-            used = max((sum(need) / whole for need, whole in (
-                ((spec.cpus for spec in specs), kind.cpus), ((spec.gpus for spec in specs), kind.gpus),
-                ((spec.memory_gb for spec in specs), kind.memory_gb)) if whole > 0), default=1.0)
+            used = max(
+                (
+                    sum(need) / whole
+                    for need, whole in (
+                        ((spec.cpus for spec in specs), kind.cpus),
+                        ((spec.gpus for spec in specs), kind.gpus),
+                        ((spec.memory_gb for spec in specs), kind.memory_gb),
+                    )
+                    if whole > 0
+                ),
+                default=1.0,
+            )
             price = kind.spot_price if machine.spot else kind.price
             wasted = (1.0 - used) * price
             if used > 0.5 + 1e-6 or wasted <= best_cost:
@@ -1162,15 +1313,27 @@
         rooms = [replace(room) for room in present if room.name != machine.name]
         for job_id, index in machine.tasks:
             job = self.cluster.jobs.get(job_id)
-            if job is None or job.state is not JobState.ACTIVE or job.spec.kind is not Kind.SERVICE or (
-                    machine.phases.get((job_id, index)) != RUNNING or job.spec.one_zone):
+            if (
+                job is None
+                or job.state is not JobState.ACTIVE
+                or job.spec.kind is not Kind.SERVICE
+                or (machine.phases.get((job_id, index)) != RUNNING or job.spec.one_zone)
+            ):
                 return False
             spec = job.spec
             counts = job.zone_counts()
             counts[machine.zone] -= 1
-            room = next((room for room in rooms if fits(spec, room.cpus, room.gpus, room.memory_gb)
-                         and allowed(spec, room.type, room.zone, room.spot) and room.fetch_rank(spec.image) == 0
-                         and counts.get(room.zone, 0) < spread_limit(spec)), None)
+            room = next(
+                (
+                    room
+                    for room in rooms
+                    if fits(spec, room.cpus, room.gpus, room.memory_gb)
+                    and allowed(spec, room.type, room.zone, room.spot)
+                    and room.fetch_rank(spec.image) == 0
+                    and counts.get(room.zone, 0) < spread_limit(spec)
+                ),
+                None,
+            )
             if room is None:
                 return False
             room.take(spec)
@@ -1183,9 +1346,12 @@
         if silent_s <= self.platform.lease_s * self.tuning.lost:
             return set()
         silence = self.silence(now)
-        return {name for name, places in self.cluster.waiting.items()
-                if silent_s > max(silence.borne_s(place.zone) for place in places.values())
-                or (self.listed is not None and name not in self.listed and silent_s > self._list_covers_s)}
+        return {
+            name
+            for name, places in self.cluster.waiting.items()
+            if silent_s > max(silence.borne_s(place.zone) for place in places.values())
+            or (self.listed is not None and name not in self.listed and silent_s > self._list_covers_s)
+        }
 
     @property
     def _list_covers_s(self) -> float:
@@ -1201,10 +1367,14 @@
         listed = self.listed
         if listed is None:
             return []
-        return [machine for machine in self.cluster.machines.values()
-                if machine.name not in listed and machine.state in (MachineState.UP, MachineState.DRAINING)
-                and now - machine.heard_at > self.platform.report_s * 3
-                and now - machine.rented_at > self._list_covers_s]
+        return [
+            machine
+            for machine in self.cluster.machines.values()
+            if machine.name not in listed
+            and machine.state in (MachineState.UP, MachineState.DRAINING)
+            and now - machine.heard_at > self.platform.report_s * 3
+            and now - machine.rented_at > self._list_covers_s
+        ]
 
     def known_machine(self, name: str, now: float) -> Machine:
         """Return a machine by name, also one that only the records know."""
@@ -1214,10 +1384,18 @@
     def cancelled_there(self, older_than_s: float = 0.0) -> dict[str, set[str]]:
         """Return the jobs cancelled longer ago than this whose tasks may still be on machines, and which machines."""
         wall = self.wall()
-        found = ((job, {place.machine for index, place in job.places.items()
-                        if self.cluster.may_be_there((job.id, index), place)})
-                 for job in self.cluster.jobs.values()
-                 if job.state is JobState.CANCELLED and wall - job.cancelled_at >= older_than_s)
+        found = (
+            (
+                job,
+                {
+                    place.machine
+                    for index, place in job.places.items()
+                    if self.cluster.may_be_there((job.id, index), place)
+                },
+            )
+            for job in self.cluster.jobs.values()
+            if job.state is JobState.CANCELLED and wall - job.cancelled_at >= older_than_s
+        )
         return {job.id: machines for job, machines in found if machines}
 
     def fenced(self) -> set[str]:
@@ -1241,8 +1419,11 @@
     """Tell whether a sum lies within a guarantee; what a team is not guaranteed does not count against it."""
     if cpus <= 0 and gpus <= 0:
         return False
-    return ((cpus <= 0 or total[0] <= cpus + 1e-6) and (gpus <= 0 or total[1] <= gpus + 1e-6)
-            and (gpus <= 0 or spec.gpus > 0 or cpus > 0))
+    return (
+        (cpus <= 0 or total[0] <= cpus + 1e-6)
+        and (gpus <= 0 or total[1] <= gpus + 1e-6)
+        and (gpus <= 0 or spec.gpus > 0 or cpus > 0)
+    )
 
 
 class _Scene:
@@ -1264,12 +1445,27 @@
 def _room(machine: Machine, jobs: dict[str, Job]) -> Room:
     kind = machine.type
     assert kind is not None
-    fetching = {jobs[job_id].spec.image for job_id, index in machine.tasks
-                if job_id in jobs and machine.phases.get((job_id, index), FETCHING) == FETCHING}
-    return Room(machine.name, kind.name, machine.zone, machine.spot, kind.cpus - machine.cpus,
-                kind.gpus - machine.gpus, kind.memory_gb - machine.memory_gb, machine.images, fetching,
-                machine.failed_jobs, bool(machine.tasks), kind.spot_price if machine.spot else kind.price,
-                (kind.cpus, kind.gpus, kind.memory_gb), kind.fetch_gb_per_s)
+    fetching = {
+        jobs[job_id].spec.image
+        for job_id, index in machine.tasks
+        if job_id in jobs and machine.phases.get((job_id, index), FETCHING) == FETCHING
+    }
+    return Room(
+        machine.name,
+        kind.name,
+        machine.zone,
+        machine.spot,
+        kind.cpus - machine.cpus,
+        kind.gpus - machine.gpus,
+        kind.memory_gb - machine.memory_gb,
+        machine.images,
+        fetching,
+        machine.failed_jobs,
+        bool(machine.tasks),
+        kind.spot_price if machine.spot else kind.price,
+        (kind.cpus, kind.gpus, kind.memory_gb),
+        kind.fetch_gb_per_s,
+    )
 
 
 def _plain_room(machine: Machine, platform: Platform) -> Room | None:
@@ -1277,11 +1473,21 @@
     kind = machine.type
     if kind is None:
         return None
-    return Room(machine.name, kind.name, machine.zone, machine.spot, kind.cpus - machine.cpus,
-                kind.gpus - machine.gpus, kind.memory_gb - machine.memory_gb, avoided_by=machine.failed_jobs,
-                busy=bool(machine.tasks), price=kind.spot_price if machine.spot else kind.price,
-                whole=(kind.cpus, kind.gpus, kind.memory_gb), fetch_gb_per_s=kind.fetch_gb_per_s,
-                away=platform.away(machine.zone))
+    return Room(
+        machine.name,
+        kind.name,
+        machine.zone,
+        machine.spot,
+        kind.cpus - machine.cpus,
+        kind.gpus - machine.gpus,
+        kind.memory_gb - machine.memory_gb,
+        avoided_by=machine.failed_jobs,
+        busy=bool(machine.tasks),
+        price=kind.spot_price if machine.spot else kind.price,
+        whole=(kind.cpus, kind.gpus, kind.memory_gb),
+        fetch_gb_per_s=kind.fetch_gb_per_s,
+        away=platform.away(machine.zone),
+    )
 
 
 def never_fits(spec: Submission, types: dict[str, MachineType], platform: Platform) -> str | None:
@@ -1290,9 +1496,11 @@
     if team is None:
         return "crew: unknown team"
     kinds = [kind for kind in types.values() if spec.types is None or kind.name in spec.types]
-    if not any(fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
-               and any(allowed(spec, kind.name, zone, False) for zone in kind.zones)
-               for kind in kinds):
+    if not any(
+        fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
+        and any(allowed(spec, kind.name, zone, False) for zone in kind.zones)
+        for kind in kinds
+    ):
         return "cores: a task fits no allowed machine type"
     if spec.kind is Kind.GANG and spec.spread:
         # Guards against a gang that waits for ever: by its own wishes its tasks can never be there all at once.
--- a/driftcleat/wire/users.py
+++ b/driftcleat/wire/users.py
@@ -165,8 +165,13 @@
     if not 1 <= job.tasks <= MAX_TASKS:
         raise BadField("hands", f"must be 1 to {MAX_TASKS}")
     amounts = (
-        ("cores", job.cpus), ("accelerators", job.gpus), ("memGb", job.memory_gb), ("imageGb", job.image_gb),
-        ("voyageS", job.estimate_s), ("mooringS", job.checkpoint_s), ("stowS", job.save_s),
+        ("cores", job.cpus),
+        ("accelerators", job.gpus),
+        ("memGb", job.memory_gb),
+        ("imageGb", job.image_gb),
+        ("voyageS", job.estimate_s),
+        ("mooringS", job.checkpoint_s),
+        ("stowS", job.save_s),
         ("tideS", job.deadline_s),
     )
     for name, amount in amounts:
--- a/driftcleat/workers/commands.py
+++ b/driftcleat/workers/commands.py
@@ -26,8 +26,9 @@
         self.prompt, self.doubtful = asyncio.Semaphore(max(1, at_once // 2)), asyncio.Semaphore(max(1, at_once // 2))
         self.asking: set[str] = set()
 
-    async def send(self, addr: str, token: int, session_number: int, signals: list[Signal],
-                   doubtful: bool = False) -> Report | None:
+    async def send(
+        self, addr: str, token: int, session_number: int, signals: list[Signal], doubtful: bool = False
+    ) -> Report | None:
         """Send commands; return the report of a worker that refused them, None if it took them or is silent.
 
         What goes to a `doubtful` machine is left out while an earlier call to it is still open.
@@ -55,6 +56,7 @@
 
     async def _exchange(self, addr: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        async with self.session.post(f"http://{addr}/commands", data=body,
-                                     timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+        async with self.session.post(
+            f"http://{addr}/commands", data=body, timeout=aiohttp.ClientTimeout(total=timeout_s)
+        ) as response:
             return response.status, await response.read()
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -79,10 +79,18 @@
     simulation: "Simulation"
     label: str
 
-    async def _exchange(self, method: str, path: str, body: bytes | None, params: dict[str, str] | None,
-                        timeout_s: float, urgent: bool) -> tuple[int, bytes]:
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        params: dict[str, str] | None,
+        timeout_s: float,
+        urgent: bool,
+    ) -> tuple[int, bytes]:
         return await asyncio.wait_for(
-            self.simulation.to_store(self.label, method, path, params or {}, body or b""), timeout_s)
+            self.simulation.to_store(self.label, method, path, params or {}, body or b""), timeout_s
+        )
 
 
 class _Cloud(CloudClient):
@@ -157,10 +165,22 @@
     def __init__(self, seed: int, **limits: Any) -> None:
         raw = raw_settings()
         raw["deployment"]["state"].update(limits)
-        self.platforms = {label: parse_platform("simulation", raw | {
-            "label": label, "domain": "south" if label == "c" else "north",
-            "known": [{"label": other, "domain": "south" if other == "c" else "north", "address": f"{other}:1"}
-                      for other in LABELS if other != label]}) for label in LABELS}
+        self.platforms = {
+            label: parse_platform(
+                "simulation",
+                raw
+                | {
+                    "label": label,
+                    "domain": "south" if label == "c" else "north",
+                    "known": [
+                        {"label": other, "domain": "south" if other == "c" else "north", "address": f"{other}:1"}
+                        for other in LABELS
+                        if other != label
+                    ],
+                },
+            )
+            for label in LABELS
+        }
         super().__init__(seed, self.platforms["a"], dict(TYPES))
         self.state = StoreServer(self.store)
         self.controllers: dict[str, SimulatedController] = {}
@@ -189,6 +209,7 @@
 
     def play(self, story: Callable[["Simulation"], Awaitable[None]]) -> None:
         """Play a story from the first leader on; what breaks a rule ends it."""
+
         async def inside() -> None:
             for label in LABELS:
                 self.start(label)
@@ -203,6 +224,7 @@
                 for task in [ticking, *self.processes.values(), *self.tasks]:
                     task.cancel()
                 await asyncio.gather(ticking, *self.processes.values(), *self.tasks, return_exceptions=True)
+
         loop = VirtualLoop()
         try:
             loop.run_until_complete(inside())
@@ -246,11 +268,13 @@
 
     def spawn(self, work: Any) -> asyncio.Task[Any]:
         """Run something beside the story."""
+
         async def watched() -> None:
             try:
                 await work
             except Exception as error:
                 self.broken = error
+
         task = asyncio.ensure_future(watched())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -277,8 +301,14 @@
 
     def lead(self) -> str | None:
         """Return who leads for certain."""
-        return next((label for label in sorted(self.processes) if hasattr(self.controllers[label], "election")
-                     and self.controllers[label].holds), None)
+        return next(
+            (
+                label
+                for label in sorted(self.processes)
+                if hasattr(self.controllers[label], "election") and self.controllers[label].holds
+            ),
+            None,
+        )
 
     def up(self, label: str) -> bool:
         """Whether a controller's process runs and is set up."""
@@ -324,8 +354,9 @@
         """No answer ever comes."""
         await asyncio.sleep(1e6)
 
-    async def to_store(self, label: str, method: str, path: str, query: dict[str, str],
-                       body: bytes) -> tuple[int, bytes]:
+    async def to_store(
+        self, label: str, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
         """Carry a request to the state service."""
         await asyncio.sleep(0.004 + self.slow_s * self.rng.uniform(0.5, 1.5))
         if label in self.away_from["store"]:
@@ -366,8 +397,14 @@
         """Carry a direct command."""
         await asyncio.sleep(0.002)
         worker = self.workers.get(addr.partition(":")[0])
-        if (worker is None or worker.gone or worker.cut or worker.deaf or sender in self.away_from["workers"]
-                or worker.only not in (None, sender)):  # type: ignore[attr-defined]
+        if (
+            worker is None
+            or worker.gone
+            or worker.cut
+            or worker.deaf
+            or sender in self.away_from["workers"]
+            or worker.only not in (None, sender)
+        ):  # type: ignore[attr-defined]
             await self.forever()
         assert worker is not None
         raw = json.loads(body)
@@ -447,8 +484,18 @@
                 record = RentalRecord(raw["build"], raw["harbor"], raw["driftwood"], raw["howMany"], 0.0)
                 self.rentals_done[raw["charter"]] = tuple(self.boot(record) for _ in range(room))
             return 200, wire.encode({"bollards": self.rentals_done[raw["charter"]]})
-        rows = [{"nameId": worker.name, "addr": f"{worker.name}:1", "build": worker.kind.name, "harbor": worker.zone,
-                 "driftwood": worker.spot, "bearing": "running", "ageS": 1.0} for worker in self.alive()]
+        rows = [
+            {
+                "nameId": worker.name,
+                "addr": f"{worker.name}:1",
+                "build": worker.kind.name,
+                "harbor": worker.zone,
+                "driftwood": worker.spot,
+                "bearing": "running",
+                "ageS": 1.0,
+            }
+            for worker in self.alive()
+        ]
         return 200, wire.encode({"bollards": rows, "truncated": False})
 
     def boot(self, record: RentalRecord) -> str:
@@ -469,8 +516,9 @@
             return 0, None
         data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
         try:
-            answer = await asyncio.wait_for(self.controllers[label].handle_front(method, path, data),
-                                            2.0 if method == "GET" else 5.0)
+            answer = await asyncio.wait_for(
+                self.controllers[label].handle_front(method, path, data), 2.0 if method == "GET" else 5.0
+            )
         except TimeoutError:
             return 0, None
         if not self.up(label):
@@ -495,10 +543,12 @@
                 if status in (400, 422) and spec.id in self.told:
                     raise RuleBroken(f"forgotten: {spec.id} got {status}")
                 await asyncio.sleep(1.0)
+
         return self.spawn(submitting())
 
     def call_off(self, job_id: str, label: str | None = None) -> asyncio.Task[Any]:
         """A user cancels a job, and again until it is confirmed."""
+
         async def cancelling() -> None:
             while True:
                 status, answer = await self.ask("POST", f"/v1/jobs/{job_id}/cancel", label=label)
@@ -508,6 +558,7 @@
                 if status == 404 and job_id in self.told:
                     raise RuleBroken(f"forgotten: {job_id}")
                 await asyncio.sleep(1.0)
+
         self.cancelled.add(job_id)
         return self.spawn(cancelling())
 
@@ -562,11 +613,15 @@
             spec = self.specs[job_id]
             team = self.platform.teams[spec.team]
             used = sum(task.job.gpus for _, task in live if task.job.team == spec.team)
-            if (state in ("done", "cancelled") or job_id in self.cancelled
-                    or any(self.told.get(need) != "done" for need in spec.needs or ())
-                    or any(task.job.id == job_id for _, task in live)
-                    or (spec.kind is Kind.GANG and spec.tasks > 1) or used + spec.gpus > team.gpus_max + 1e-6
-                    or not any(self._has_room(worker, spec) for worker in self.alive())):
+            if (
+                state in ("done", "cancelled")
+                or job_id in self.cancelled
+                or any(self.told.get(need) != "done" for need in spec.needs or ())
+                or any(task.job.id == job_id for _, task in live)
+                or (spec.kind is Kind.GANG and spec.tasks > 1)
+                or used + spec.gpus > team.gpus_max + 1e-6
+                or not any(self._has_room(worker, spec) for worker in self.alive())
+            ):
                 passed_over.pop(job_id, None)
             elif self.time() - passed_over.setdefault(job_id, self.time()) > 90.0:
                 raise RuleBroken(f"left waiting: {job_id} although there is room")
@@ -574,10 +629,12 @@
     def _has_room(self, worker: PlainWorker, spec: Submission) -> bool:
         """Whether a machine fits a task and has room for it."""
         tasks = [task.job for task in worker.tasks.values() if task.state != "exited"]
-        return (allowed(spec, worker.kind.name, worker.zone, worker.spot)
-                and fits(spec, worker.kind.cpus - sum(job.cpus for job in tasks),
-                         worker.kind.gpus - sum(job.gpus for job in tasks),
-                         worker.kind.memory_gb - sum(job.memory_gb for job in tasks)))
+        return allowed(spec, worker.kind.name, worker.zone, worker.spot) and fits(
+            spec,
+            worker.kind.cpus - sum(job.cpus for job in tasks),
+            worker.kind.gpus - sum(job.gpus for job in tasks),
+            worker.kind.memory_gb - sum(job.memory_gb for job in tasks),
+        )
 
     async def settle_down(self) -> None:
         """All troubles end: every question is answered within 75 s, and work that has room begins within 90 s."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -77,16 +77,22 @@
             self.leases[lease] = self.now() + self.ttl[lease]
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
-        status, value = await self.answer(request.headers.get("X-Sender", ""), request.method, request.path,
-                                          dict(request.query), await request.read())
+        status, value = await self.answer(
+            request.headers.get("X-Sender", ""),
+            request.method,
+            request.path,
+            dict(request.query),
+            await request.read(),
+        )
         return web.json_response(value, status=status)
 
     def refuses(self, sender: str) -> bool:
         """Whether this controller is refused just now."""
         return "all" in self.down_for or sender in self.down_for
 
-    async def answer(self, sender: str, method: str, path: str, query: dict[str, str],
-                     body: bytes) -> tuple[int, Any]:
+    async def answer(
+        self, sender: str, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
         """Answer one request; return status and JSON value."""
         if self.refuses(sender):
             return 503, {"error": "trouble"}
@@ -115,17 +121,26 @@
                 if "all" not in self.down_for:
                     self.expire()
                 if not self.refuses(sender) and store.revision > revision and not store.items(query["under"]):
-                    return 200, {"logline": store.revision,
-                                 "log": [{"remove": query["under"], "entry": store.revision}]}
+                    return 200, {
+                        "logline": store.revision,
+                        "log": [{"remove": query["under"], "entry": store.revision}],
+                    }
                 await asyncio.sleep(0.02)
             return 200, {"logline": store.revision, "log": []}
         if path == "/store":
             items = [item for item in store.items(query["under"]) if item.key > query.get("from", "")]
-            page = items[:int(query["page"])]
-            rows = [{"key": item.key, "v": json.loads(bytes(item.value)), "entry": item.version,
-                     "berth": self.attached.get(item.key)} for item in page]
+            page = items[: int(query["page"])]
+            rows = [
+                {
+                    "key": item.key,
+                    "v": json.loads(bytes(item.value)),
+                    "entry": item.version,
+                    "berth": self.attached.get(item.key),
+                }
+                for item in page
+            ]
             return 200, {"rows": rows, "truncated": len(items) > len(page), "logline": store.revision}
-        key = path[len("/store/"):]
+        key = path[len("/store/") :]
         if key not in store.data:
             return 404, {"logline": store.revision}
         value, version = store.data[key]
@@ -183,11 +198,15 @@
         label = self.attached.get(worker.name)
         if label not in self.fronts:
             label = self.attached[worker.name] = random.choice(sorted(self.fronts))
-        report = wire.convert(wire.decode(wire.encode(report), dict) | {"addr": self.addresses["workers"] + "/"
-                                                                        + worker.name}, Report)
+        report = wire.convert(
+            wire.decode(wire.encode(report), dict) | {"addr": self.addresses["workers"] + "/" + worker.name}, Report
+        )
         try:
-            async with self.session.post(f"http://{self.fronts[label]}/agent/beat", data=wire.encode(report),
-                                         timeout=aiohttp.ClientTimeout(total=4)) as response:
+            async with self.session.post(
+                f"http://{self.fronts[label]}/agent/beat",
+                data=wire.encode(report),
+                timeout=aiohttp.ClientTimeout(total=4),
+            ) as response:
                 data = await response.read()
                 if response.status == 200:
                     orders = wire.decode(data, Orders)
@@ -232,9 +251,18 @@
                 record = RentalRecord(raw["build"], raw["harbor"], raw["driftwood"], raw["howMany"], 0.0)
                 self.rentals_done[raw["charter"]] = tuple(self.boot(record) for _ in range(raw["howMany"]))
             return web.json_response({"bollards": self.rentals_done[raw["charter"]]})
-        rows = [{"nameId": worker.name, "addr": self.addresses["workers"] + "/" + worker.name,
-                 "build": worker.kind.name, "harbor": worker.zone, "driftwood": worker.spot, "bearing": "running",
-                 "ageS": 1.0} for worker in self.alive()]
+        rows = [
+            {
+                "nameId": worker.name,
+                "addr": self.addresses["workers"] + "/" + worker.name,
+                "build": worker.kind.name,
+                "harbor": worker.zone,
+                "driftwood": worker.spot,
+                "bearing": "running",
+                "ageS": 1.0,
+            }
+            for worker in self.alive()
+        ]
         return web.json_response({"bollards": rows, "truncated": False})
 
     async def live(self) -> None:
@@ -260,8 +288,10 @@
     """Three controllers with everything around them."""
 
     def __init__(self) -> None:
-        self.ports = {name: free_port() for name in (
-            "state", "cloud", "workers", "a-bind", "a-back", "b-bind", "b-back", "c-bind", "c-back")}
+        self.ports = {
+            name: free_port()
+            for name in ("state", "cloud", "workers", "a-bind", "a-back", "b-bind", "b-back", "c-bind", "c-back")
+        }
         self.platforms = {label: parse_platform("test", self._raw(label)) for label in "abc"}
         self.world = LiveWorld(self.platforms["a"])
         self.store = StoreServer(self.world.store)
@@ -270,10 +300,16 @@
 
     def _raw(self, label: str) -> dict[str, Any]:
         raw = raw_settings()
-        raw |= {"label": label, "bind": f"127.0.0.1:{self.ports[label + '-bind']}",
-                "back": f"127.0.0.1:{self.ports[label + '-back']}",
-                "known": [{"label": other, "domain": "north", "address": f"127.0.0.1:{self.ports[other + '-back']}"}
-                          for other in "abc" if other != label]}
+        raw |= {
+            "label": label,
+            "bind": f"127.0.0.1:{self.ports[label + '-bind']}",
+            "back": f"127.0.0.1:{self.ports[label + '-back']}",
+            "known": [
+                {"label": other, "domain": "north", "address": f"127.0.0.1:{self.ports[other + '-back']}"}
+                for other in "abc"
+                if other != label
+            ],
+        }
         raw["external"] = {"cloud": f"127.0.0.1:{self.ports['cloud']}", "state": f"127.0.0.1:{self.ports['state']}"}
         raw["deployment"]["workers"] |= {"report_s": 0.4, "lease_s": 8.0, "cancel_s": 20.0}
         raw["deployment"]["cloud"] = {"rps": 50.0, "list_lag_s": 0.5}
@@ -283,9 +319,11 @@
     async def __aenter__(self) -> "Site":
         self.world.session = aiohttp.ClientSession()
         self.world.addresses["workers"] = f"127.0.0.1:{self.ports['workers']}"
-        self.runners = [await serve(self.store.handle, self.ports["state"]),
-                        await serve(self.world.cloud, self.ports["cloud"]),
-                        await serve(self.world.commands, self.ports["workers"])]
+        self.runners = [
+            await serve(self.store.handle, self.ports["state"]),
+            await serve(self.world.cloud, self.ports["cloud"]),
+            await serve(self.world.commands, self.ports["workers"]),
+        ]
         self.world.now = asyncio.get_running_loop().time()
         self.clock = asyncio.ensure_future(self.world.live())
         for label in "abc":
@@ -305,6 +343,7 @@
     def start(self, label: str) -> None:
         """Start a controller."""
         from driftcleat.controller import Controller
+
         controller = Controller(self.platforms[label], Tuning())
         self.controllers[label] = controller
         self.running[label] = asyncio.ensure_future(controller.run())
@@ -331,7 +370,8 @@
         """Send a user's request to one controller; return status, JSON and headers."""
         assert self.world.session is not None
         data = body if isinstance(body, (bytes, type(None))) else json.dumps(body).encode()
-        async with self.world.session.request(method, f"http://{self.platforms[label].bind}{path}",
-                                              data=data) as response:
+        async with self.world.session.request(
+            method, f"http://{self.platforms[label].bind}{path}", data=data
+        ) as response:
             text = await response.read()
             return response.status, json.loads(text) if text else None, response.headers
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -97,8 +97,16 @@
     """Guards against a report of a machine long gone: it was taken for a machine with room."""
     now = [100.0]
     cluster = Cluster(9, {}, dict(TYPES), now[0], SITE.lease_s)
-    term = Term(SITE, Tuning(), cluster, Layout(SITE.value_bytes, SITE.txn_ops), random.Random(1), lambda: now[0],
-                lambda: now[0], brand_new=True)
+    term = Term(
+        SITE,
+        Tuning(),
+        cluster,
+        Layout(SITE.value_bytes, SITE.txn_ops),
+        random.Random(1),
+        lambda: now[0],
+        lambda: now[0],
+        brand_new=True,
+    )
     copy = Report("vm-1", "h:1", "big", "north", False, 1, 7, 5, (), 3.0)
     machine = cluster.observe(copy, now[0])
     assert machine is not None
@@ -150,8 +158,11 @@
 def test_a_leader_without_store_and_peers_decides_nothing_and_gives_its_workers_up() -> None:
     world = busy_world()
     old = world.leader
-    before = {(worker.name, task.job.id, task.attempt) for worker, task in world.on_machines()
-              if task.job.id == "req-000003"}
+    before = {
+        (worker.name, task.job.id, task.attempt)
+        for worker, task in world.on_machines()
+        if task.job.id == "req-000003"
+    }
     world.held_by = old
     world.elect("b")
     batches = old.term.counters.batches
@@ -223,13 +234,17 @@
     # The cloud has no more: what comes free is all there is.
     world.leader.term.rent = lambda plan: None  # type: ignore[method-assign]
     for number in range(1, 7):
-        world.submit(job(number, hands=2, rig="group", rank="standard", crew="blue", accelerators=1.0, cores=12.0,
-                         voyageS=20.0))
+        world.submit(
+            job(
+                number, hands=2, rig="group", rank="standard", crew="blue", accelerators=1.0, cores=12.0, voyageS=20.0
+            )
+        )
     world.run(10.0)
     world.submit(job(99, hands=4, rig="group", rank="high", together=True, cores=12.0, voyageS=30.0))
     for number in range(100, 124):
-        world.submit(job(number, hands=1, rig="group", rank="high", crew="blue", accelerators=1.0, cores=12.0,
-                         voyageS=15.0))
+        world.submit(
+            job(number, hands=1, rig="group", rank="high", crew="blue", accelerators=1.0, cores=12.0, voyageS=15.0)
+        )
         world.run(4.0)
     started = world.leader.term.cluster.jobs.get("req-000099")
     assert started is None or started.places, "the large one has its machines"
@@ -322,14 +337,43 @@
     for number in range(data.draw(st.integers(0, 24))):
         kind = data.draw(st.sampled_from([TYPES["big"], TYPES["small"]]))
         share = data.draw(st.sampled_from([0.0, 0.5, 1.0]))
-        rooms.append(Room(f"vm-{number:03d}", kind.name, data.draw(st.sampled_from(["north", "south"])),
-                          data.draw(st.booleans()), kind.cpus * share, kind.gpus * share, kind.memory_gb * share,
-                          busy=share < 1.0, price=kind.price, whole=(kind.cpus, kind.gpus, kind.memory_gb)))
-    plain = [Room(room.name, room.type, room.zone, room.spot, room.cpus, room.gpus, room.memory_gb, busy=room.busy,
-                  price=room.price, whole=room.whole) for room in rooms]
-    spec = job(1, hands=data.draw(st.integers(1, 30)), rig=data.draw(st.sampled_from(["array", "daemon"])),
-               cores=data.draw(st.sampled_from([1.0, 4.0, 8.0])), spread=data.draw(st.booleans()),
-               driftwood=data.draw(st.booleans()))
+        rooms.append(
+            Room(
+                f"vm-{number:03d}",
+                kind.name,
+                data.draw(st.sampled_from(["north", "south"])),
+                data.draw(st.booleans()),
+                kind.cpus * share,
+                kind.gpus * share,
+                kind.memory_gb * share,
+                busy=share < 1.0,
+                price=kind.price,
+                whole=(kind.cpus, kind.gpus, kind.memory_gb),
+            )
+        )
+    plain = [
+        Room(
+            room.name,
+            room.type,
+            room.zone,
+            room.spot,
+            room.cpus,
+            room.gpus,
+            room.memory_gb,
+            busy=room.busy,
+            price=room.price,
+            whole=room.whole,
+        )
+        for room in rooms
+    ]
+    spec = job(
+        1,
+        hands=data.draw(st.integers(1, 30)),
+        rig=data.draw(st.sampled_from(["array", "daemon"])),
+        cores=data.draw(st.sampled_from([1.0, 4.0, 8.0])),
+        spread=data.draw(st.booleans()),
+        driftwood=data.draw(st.booleans()),
+    )
     grouped, single = Demand(spec, spec.tasks, {}), Demand(spec, spec.tasks, {})
     used: set[str] = set()
     stock = Stock(rooms)
@@ -372,11 +416,12 @@
     """Seen on the bench: a zone cut off with all controllers inside kept only a fifth of the replicas."""
     site = platform()
     assert (site.away("north"), site.away("south"), site.away("elsewhere")) == (1, 1, 2)
-    plan = plan_fleet([Demand(job(1, hands=4), 4, {})], [], {"big": BIG}, lambda offer: False, 9,
-                      lambda zone: int(zone == "north"))
+    plan = plan_fleet(
+        [Demand(job(1, hands=4), 4, {})], [], {"big": BIG}, lambda offer: False, 9, lambda zone: int(zone == "north")
+    )
     assert {offer[1] for offer in plan.rentals} == {"south"}
     rooms = [Room(f"vm-{number}", "big", "north", False, 8.0, 2.0, 32.0, away=number) for number in (1, 0, 2)]
-    (_, room), = PlacementRound(rooms, 9, random.Random(1)).place(Job(job(2, hands=1), 0.0), Limits(99.0, 99.0), 1)
+    ((_, room),) = PlacementRound(rooms, 9, random.Random(1)).place(Job(job(2, hands=1), 0.0), Limits(99.0, 99.0), 1)
     assert room.name == "vm-0"
 
 
@@ -385,8 +430,11 @@
     fast = MachineType("fast", 16.0, 4.0, 64.0, 100.0, 0.15, 11.0, 3.0, 30.0, ("north",))
     cheap = MachineType("cheap", 16.0, 4.0, 64.0, 100.0, 0.12, 9.0, 3.0, 30.0, ("north",))
     types = {"fast": fast, "cheap": cheap}
-    for rig, rank, wanted in (("daemon", "critical", "fast"), ("array", "critical", "cheap"),
-                              ("daemon", "standard", "cheap")):
+    for rig, rank, wanted in (
+        ("daemon", "critical", "fast"),
+        ("array", "critical", "cheap"),
+        ("daemon", "standard", "cheap"),
+    ):
         plan = plan_fleet([Demand(job(1, rig=rig, rank=rank, hands=4), 4, {})], [], types, lambda offer: False, 9)
         assert {offer[0] for offer in plan.rentals} == {wanted}
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -29,8 +29,16 @@
 def make_term(now: list[float]) -> Term:
     """Return a term with one empty machine `vm-1` that has reported."""
     cluster = Cluster(5, {}, dict(TYPES), now[0])
-    term = Term(SITE, Tuning(), cluster, Layout(SITE.value_bytes, SITE.txn_ops), random.Random(1), lambda: now[0],
-                lambda: now[0], brand_new=True)
+    term = Term(
+        SITE,
+        Tuning(),
+        cluster,
+        Layout(SITE.value_bytes, SITE.txn_ops),
+        random.Random(1),
+        lambda: now[0],
+        lambda: now[0],
+        brand_new=True,
+    )
     cluster.observe(report(1), now[0])
     return term
 
@@ -73,7 +81,8 @@
     term.cluster.observe(report(3), 2.0)
     commit(term)
     assert "req-000001" not in term.cluster.jobs and term.lookup("req-000001") == JobView(
-        "req-000001", "cancelled", 0, 0)
+        "req-000001", "cancelled", 0, 0
+    )
 
 
 def test_a_report_under_an_older_token_proves_nothing_absent() -> None:
@@ -211,8 +220,9 @@
     spec = job(1, hands=tasks, rig=rig, cores=0.0, accelerators=0.0, memGb=0.0)
     cluster = Cluster(token, {}, dict(TYPES), 0.0)
     now = [0.0]
-    term = Term(site, Tuning(budget=0.2), cluster, layout, random.Random(1), lambda: now[0], lambda: now[0],
-                brand_new=True)
+    term = Term(
+        site, Tuning(budget=0.2), cluster, layout, random.Random(1), lambda: now[0], lambda: now[0], brand_new=True
+    )
     for number in range(30):
         cluster.observe(Report(f"vm-{number:06d}", "h:1", "big", "north", False, 1, 1, token, ()), 0.0)
     term.submissions.append(Ticket(lambda view: None, spec, spec.id))
@@ -249,20 +259,38 @@
 
 def slow_fits(spec: object, rooms: list[Room]) -> bool:
     """The plain model of `find`: does any room take a task?"""
-    return any(allowed(spec, room.type, room.zone, room.spot)  # type: ignore[arg-type]
-               and fits(spec, room.cpus, room.gpus, room.memory_gb) for room in rooms)  # type: ignore[arg-type]
+    return any(
+        allowed(spec, room.type, room.zone, room.spot)  # type: ignore[arg-type]
+        and fits(spec, room.cpus, room.gpus, room.memory_gb)
+        for room in rooms
+    )  # type: ignore[arg-type]
 
 
 @settings(derandomize=True, max_examples=150)
 @given(st.data())
 def test_placement_finds_room_whenever_there_is_any(data: st.DataObject) -> None:
-    rooms = [Room(f"m{number}", data.draw(st.sampled_from(["big", "small"])), data.draw(st.sampled_from("ns")),
-                  data.draw(st.booleans()), float(data.draw(st.integers(0, 8))), float(data.draw(st.integers(0, 4))),
-                  16.0) for number in range(data.draw(st.integers(0, 12)))]
-    spec = job(1, hands=data.draw(st.integers(1, 6)), rig=data.draw(st.sampled_from(["array", "group"])),
-               cores=float(data.draw(st.integers(1, 4))), driftwood=data.draw(st.booleans()),
-               builds=data.draw(st.sampled_from([None, ["big"]])), harbor=data.draw(st.sampled_from([None, "n"])),
-               together=data.draw(st.booleans()))
+    rooms = [
+        Room(
+            f"m{number}",
+            data.draw(st.sampled_from(["big", "small"])),
+            data.draw(st.sampled_from("ns")),
+            data.draw(st.booleans()),
+            float(data.draw(st.integers(0, 8))),
+            float(data.draw(st.integers(0, 4))),
+            16.0,
+        )
+        for number in range(data.draw(st.integers(0, 12)))
+    ]
+    spec = job(
+        1,
+        hands=data.draw(st.integers(1, 6)),
+        rig=data.draw(st.sampled_from(["array", "group"])),
+        cores=float(data.draw(st.integers(1, 4))),
+        driftwood=data.draw(st.booleans()),
+        builds=data.draw(st.sampled_from([None, ["big"]])),
+        harbor=data.draw(st.sampled_from([None, "n"])),
+        together=data.draw(st.booleans()),
+    )
     limits = Limits(float("inf"), float(data.draw(st.integers(0, 6))))
     before = [Room(room.name, room.type, room.zone, room.spot, room.cpus, room.gpus, 16.0) for room in rooms]
     most = limits.gpus
@@ -292,7 +320,7 @@
     arrivals = Arrivals(80.0, 2.0)
     for number in range(40):
         arrivals.note(job(number), 10.0)
-    (_, rate, mean), = arrivals.rates(40.0)
+    ((_, rate, mean),) = arrivals.rates(40.0)
     assert rate * mean < 0.2
 
 
@@ -457,9 +485,9 @@
     term.cluster.machines.clear()
     term.submissions.append(Ticket(lambda view: None, job(1, hands=1, builds=["big"]), "req-000001"))
     commit(term)
-    first, = term.plan_rentals(0.0).rentals
+    (first,) = term.plan_rentals(0.0).rentals
     term.note_refusal(first, 0.0)
-    second, = term.plan_rentals(0.0).rentals
+    (second,) = term.plan_rentals(0.0).rentals
     assert second != first and second[0] == "big"
     term.note_refusal(second, 0.0)
     assert term.plan_rentals(0.0).rentals == {}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -130,6 +130,7 @@
     token = site.controllers[leader].election.token
     connector = aiohttp.TCPConnector(limit=0, force_close=False)
     async with aiohttp.ClientSession(connector=connector) as session:
+
         async def ask(number: int) -> int:
             try:
                 async with session.get(f"http://{site.platforms[leader].bind}/v1/jobs/req-{number:06d}") as answer:
@@ -137,6 +138,7 @@
                     return answer.status
             except aiohttp.ClientError:
                 return 0
+
         for _ in range(3):
             statuses = await asyncio.gather(*(ask(number) for number in range(20)))
             assert set(statuses) <= {404, 503}, "every one got its answer"
@@ -150,6 +152,7 @@
 
 def test_a_call_to_a_worker_does_not_wait_for_machines_that_are_silent() -> None:
     """Guards against a stop that a cancellation waits for behind hundreds of calls that take their full time."""
+
     async def run() -> None:
         asked = asyncio.Event()
         free = asyncio.Event()
@@ -160,6 +163,7 @@
                 await free.wait()
             asked.set()
             return web.json_response({})
+
         runner = web.ServerRunner(web.Server(handle, access_log=None))
         await runner.setup()
         port = free_port()
@@ -177,6 +181,7 @@
             await asyncio.gather(*hanging)
             assert not client.asking
         await runner.cleanup()
+
     asyncio.run(run())
 
 
@@ -236,8 +241,10 @@
         name = f"vm-{zone}-{number}"
         if only(number):
             known = term.cluster.machines[name].report
-            tasks = tuple(TaskReport(f"{key[0]}/{key[1]}", place.attempt, "running")
-                          for key, place in term.cluster.machines[name].tasks.items())
+            tasks = tuple(
+                TaskReport(f"{key[0]}/{key[1]}", place.attempt, "running")
+                for key, place in term.cluster.machines[name].tasks.items()
+            )
             assert known is not None
             term.cluster.observe(Report(name, "h:1", "big", zone, False, 1, seq, 5, tasks), now[0])
 
@@ -280,7 +287,8 @@
     for machine in term.cluster.machines.values():
         machine.fetched.add("img-1")
     assert {machine.name for machine in term.surplus(kept(term), now[0])} == {f"vm-north-{n}" for n in range(5)}, (
-        "waiting helps nobody once their work has room elsewhere")
+        "waiting helps nobody once their work has room elsewhere"
+    )
     for machine in term.cluster.machines.values():
         machine.cpus, machine.gpus = 16.0, 4.0
     now[0] += SITE.lease_s * term.tuning.cut
@@ -390,8 +398,18 @@
     inside = next(label for label in "abc" if label != leader)
     election = site.controllers[inside].election
     token = site.controllers[leader].election.token
-    report = {"bollard": "vm-9", "addr": "127.0.0.1:1", "build": "big", "harbor": "north", "driftwood": False,
-              "watch": 1, "knot": 3, "helm": token, "warningS": None, "hands": []}
+    report = {
+        "bollard": "vm-9",
+        "addr": "127.0.0.1:1",
+        "build": "big",
+        "harbor": "north",
+        "driftwood": False,
+        "watch": 1,
+        "knot": 3,
+        "helm": token,
+        "warningS": None,
+        "hands": [],
+    }
     status, _, _ = await site.call(inside, "POST", "/agent/beat", report)
     assert status == 421, "a follower names the leader"
     undo = await cut_peers(site, inside)
@@ -432,6 +450,7 @@
         outlook: Outlook = await ask()
         asked.append(outlook.in_reach)
         return outlook
+
     election.ask_peers = noted
     await until(lambda: len(asked) > 3, "it has asked")
     assert all(asked) and election.tended_token is None
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,11 +11,14 @@
 
 def played(seed: int = 1) -> Callable[[Callable[[Simulation], Awaitable[None]]], Callable[[], None]]:
     """Play a test's story on a site of its own."""
+
     def decorate(story: Callable[[Simulation], Awaitable[None]]) -> Callable[[], None]:
         def run() -> None:
             Simulation(seed).play(story)
+
         run.__name__, run.__doc__ = story.__name__, story.__doc__
         return run
+
     return decorate
 
 
@@ -328,8 +331,16 @@
     """Transactions of each may be carried out under the next ones; no batch of a term before may count."""
     sim.late_writes = 0.3
     for number in range(1, 7):
-        sim.hand_in(raw_job(number, hands=2, rig=("array", "group")[number % 2], voyageS=60.0,
-                            crew=("red", "blue")[number % 2], cores=1.0))
+        sim.hand_in(
+            raw_job(
+                number,
+                hands=2,
+                rig=("array", "group")[number % 2],
+                voyageS=60.0,
+                crew=("red", "blue")[number % 2],
+                cores=1.0,
+            )
+        )
     await sim.rest(6.0)
     leaders = set()
     for change in range(10):
@@ -392,14 +403,19 @@
 @played(5)
 async def test_a_cancellation_a_question_and_a_repeat_meet_the_end_of_the_last_task(sim: Simulation) -> None:
     """Whatever is told first stays so; `Simulation` raises if an answer takes another back."""
-    raws = {f"req-{number:06d}": raw_job(number, hands=1, voyageS=8.0, cores=0.5, accelerators=0.1,
-                                         crew=("red", "blue")[number % 2]) for number in range(1, 31)}
+    raws = {
+        f"req-{number:06d}": raw_job(
+            number, hands=1, voyageS=8.0, cores=0.5, accelerators=0.1, crew=("red", "blue")[number % 2]
+        )
+        for number in range(1, 31)
+    }
     for raw in raws.values():
         sim.hand_in(raw)
     met: set[str] = set()
 
     def ended() -> list[str]:
         return [job_id for job_id, index in sorted(sim.finished) if job_id not in met]
+
     while len(met) < len(raws):
         await sim.until(ended)
         for job_id in ended():
@@ -490,8 +506,16 @@
     """They come after newer ones of the same controller; each batch is conditional on the one before it."""
     sim.late_writes = 0.4
     for number in range(1, 25):
-        sim.hand_in(raw_job(number, hands=2, voyageS=8.0, rig=("array", "group", "array")[number % 3], cores=1.0,
-                            crew=("red", "blue")[number % 2]))
+        sim.hand_in(
+            raw_job(
+                number,
+                hands=2,
+                voyageS=8.0,
+                rig=("array", "group", "array")[number % 3],
+                cores=1.0,
+                crew=("red", "blue")[number % 2],
+            )
+        )
         await sim.rest(2.0)
         if number % 4 == 0:
             sim.call_off(f"req-{number - 2:06d}")
@@ -525,9 +549,18 @@
     sim.capacity, sim.slow_s, sim.held_commands = 4, 0.3, 0.1
     for number in range(1, 25):
         urgent = number % 6 == 0
-        sim.hand_in(raw_job(number, hands=3 if urgent else 2, voyageS=12.0, cores=4.0, accelerators=1.0,
-                            rig="group" if urgent else "array", rank="high" if urgent else "best_effort",
-                            crew=("red", "blue")[number % 2]))
+        sim.hand_in(
+            raw_job(
+                number,
+                hands=3 if urgent else 2,
+                voyageS=12.0,
+                cores=4.0,
+                accelerators=1.0,
+                rig="group" if urgent else "array",
+                rank="high" if urgent else "best_effort",
+                crew=("red", "blue")[number % 2],
+            )
+        )
         await sim.rest(0.5)
     begun = sim.time()
     urgent_jobs = {f"req-{number:06d}" for number in range(6, 25, 6)}
@@ -545,13 +578,19 @@
     """What can be told without the state service is told; else 503 with when to come back, and nothing is held."""
     ids = await services(sim, 1)
     lacking = {key: value for key, value in raw_job(7).items() if key != "crew"}
-    calls = [("POST", "/v1/jobs", b"{", {400}), ("POST", "/v1/jobs", {"nameId": "x"}, {400}),
-             ("POST", "/v1/jobs", lacking, {400, 503}), ("POST", "/v1/jobs", raw_job(8, cores=99.0), {422, 503}),
-             ("POST", "/v1/jobs", raw_job(9, rig="group", spread=True, together=True), {422, 503}),
-             ("GET", "/v1/jobs", None, {405}), ("GET", "/v1/jobs/nonsense", None, {404}),
-             ("GET", "/v1/jobs/req-000099", None, {404, 503}),
-             ("POST", "/v1/jobs/req-000099/cancel", None, {404, 503}),
-             ("GET", "/nowhere", None, {404}), ("POST", "/agent/beat", b"{}", {400, 421})]
+    calls = [
+        ("POST", "/v1/jobs", b"{", {400}),
+        ("POST", "/v1/jobs", {"nameId": "x"}, {400}),
+        ("POST", "/v1/jobs", lacking, {400, 503}),
+        ("POST", "/v1/jobs", raw_job(8, cores=99.0), {422, 503}),
+        ("POST", "/v1/jobs", raw_job(9, rig="group", spread=True, together=True), {422, 503}),
+        ("GET", "/v1/jobs", None, {405}),
+        ("GET", "/v1/jobs/nonsense", None, {404}),
+        ("GET", "/v1/jobs/req-000099", None, {404, 503}),
+        ("POST", "/v1/jobs/req-000099/cancel", None, {404, 503}),
+        ("GET", "/nowhere", None, {404}),
+        ("POST", "/agent/beat", b"{}", {400, 421}),
+    ]
 
     async def ask_all(certain: bool, without: str = "") -> None:
         for label in LABELS:
@@ -562,6 +601,7 @@
                 status, _ = await sim.ask(method, path, body, label)
                 assert status in (expected - {503} if certain and path != "/agent/beat" else expected), (label, path)
                 assert sim.time() - asked_at < sim.platform.report_s, (label, path)
+
     await ask_all(certain=True)
     leader = sim.lead()
     assert leader is not None
--- a/tests/test_meetings_walk.py
+++ b/tests/test_meetings_walk.py
@@ -71,11 +71,13 @@
 
 def on_some(name: str) -> Callable[[Simulation, random.Random], None]:
     """Some machines fall into a state, or leave it."""
+
     def happen(sim: Simulation, rng: random.Random) -> None:
         if name == "hung" and not (sim.cloud_up and sim.processes):
             return
         for worker in rng.sample(sim.alive(), min(len(sim.alive()), rng.choice([1, 1, 3]))):
             setattr(worker, name, not getattr(worker, name))
+
     happen.__name__ = name
     return happen
 
@@ -121,22 +123,55 @@
         worker.only = None  # type: ignore[attr-defined]
 
 
-TROUBLES = [refuse_one, outage, outage_ends, outage_ends, lose_all_but_workers, part, zone_cut, leader_ends, all_end,
-            back_at_once, one_returns, one_returns, on_some("hung"), on_some("cut"), on_some("deaf"),
-            on_some("mute"), on_some("sick"), die, machine_back_at_once, late_writes, late_reports, held_commands,
-            slow_store, cloud_down, links_heal, links_heal]
+TROUBLES = [
+    refuse_one,
+    outage,
+    outage_ends,
+    outage_ends,
+    lose_all_but_workers,
+    part,
+    zone_cut,
+    leader_ends,
+    all_end,
+    back_at_once,
+    one_returns,
+    one_returns,
+    on_some("hung"),
+    on_some("cut"),
+    on_some("deaf"),
+    on_some("mute"),
+    on_some("sick"),
+    die,
+    machine_back_at_once,
+    late_writes,
+    late_reports,
+    held_commands,
+    slow_store,
+    cloud_down,
+    links_heal,
+    links_heal,
+]
 
 
 def some_job(rng: random.Random, number: int, known: list[str]) -> dict[str, object]:
     """Return a submission; services are those with no estimate. Some need jobs that were accepted."""
     rig = rng.choice(["array", "array", "group", "daemon"])
     spread = rng.random() < 0.15
-    return raw_job(number, rig=rig, crew=rng.choice(["red", "blue"]),
-                   rank=rng.choice(["critical", "high", "standard", "best_effort"]), hands=rng.choice([1, 2, 2, 3]),
-                   cores=rng.choice([1.0, 4.0]), harbor=None if spread else rng.choice([None, None, "north"]),
-                   together=not spread and rng.random() < 0.3, spread=spread, driftwood=rng.random() < 0.3,
-                   voyageS=0.0 if rig == "daemon" else rng.choice([5.0, 20.0, 60.0]),
-                   mooringS=rng.choice([0.0, 10.0]), tows=rng.sample(known, min(len(known), rng.choice([0, 1, 2]))))
+    return raw_job(
+        number,
+        rig=rig,
+        crew=rng.choice(["red", "blue"]),
+        rank=rng.choice(["critical", "high", "standard", "best_effort"]),
+        hands=rng.choice([1, 2, 2, 3]),
+        cores=rng.choice([1.0, 4.0]),
+        harbor=None if spread else rng.choice([None, None, "north"]),
+        together=not spread and rng.random() < 0.3,
+        spread=spread,
+        driftwood=rng.random() < 0.3,
+        voyageS=0.0 if rig == "daemon" else rng.choice([5.0, 20.0, 60.0]),
+        mooringS=rng.choice([0.0, 10.0]),
+        tows=rng.sample(known, min(len(known), rng.choice([0, 1, 2]))),
+    )
 
 
 def accepted(sim: Simulation) -> list[str]:
@@ -174,6 +209,7 @@
             if rng.random() < 0.5:
                 sim.cloud_up = True
         await sim.settle_down()
+
     sim.play(story)
     return sim
 
--- a/tests/test_needs.py
+++ b/tests/test_needs.py
@@ -24,12 +24,22 @@
         return all(self.state[need] == "done" for need in self.jobs[job_id][0])
 
     def below_cancelled(self, job_id: str) -> bool:
-        return any(self.state[need] == "cancelled" or (self.state[need] == "active" and self.below_cancelled(need))
-                   for need in self.jobs[job_id][0])
+        return any(
+            self.state[need] == "cancelled" or (self.state[need] == "active" and self.below_cancelled(need))
+            for need in self.jobs[job_id][0]
+        )
 
     def level(self, job_id: str) -> int:
-        return min([self.jobs[job_id][1], *(self.level(other) for other, (needs, _) in self.jobs.items()
-                                            if job_id in needs and self.state[other] == "active")])
+        return min(
+            [
+                self.jobs[job_id][1],
+                *(
+                    self.level(other)
+                    for other, (needs, _) in self.jobs.items()
+                    if job_id in needs and self.state[other] == "active"
+                ),
+            ]
+        )
 
 
 @settings(max_examples=200, deadline=None)
@@ -41,11 +51,19 @@
         what = data.draw(st.sampled_from(["add", "add", "done", "cancel"]))
         if what == "add" or not active:
             job_id, level = f"j{number:02d}", data.draw(st.integers(0, 3))
-            needs = tuple(data.draw(st.lists(st.sampled_from(sorted(plain.state)), unique=True, max_size=4))
-                          if plain.state else ())
+            needs = tuple(
+                data.draw(st.lists(st.sampled_from(sorted(plain.state)), unique=True, max_size=4))
+                if plain.state
+                else ()
+            )
             plain.jobs[job_id], plain.state[job_id] = (needs, level), "active"
-            graph.add(job_id, needs, [need for need in needs if plain.state[need] != "done"], level,
-                      any(plain.state[need] == "cancelled" for need in needs))
+            graph.add(
+                job_id,
+                needs,
+                [need for need in needs if plain.state[need] != "done"],
+                level,
+                any(plain.state[need] == "cancelled" for need in needs),
+            )
         elif what == "done":
             ready = [job_id for job_id in active if plain.ready(job_id)]
             if ready:
@@ -81,8 +99,13 @@
     assert len(graph.doomed) == 4999 + 1 + 2000
 
 
-@given(st.sets(st.one_of(st.integers(0, 999_999).map(lambda number: f"req-{number:06d}"),
-                         st.from_regex(r"\Areq-[0-9]{1,18}\Z"))))
+@given(
+    st.sets(
+        st.one_of(
+            st.integers(0, 999_999).map(lambda number: f"req-{number:06d}"), st.from_regex(r"\Areq-[0-9]{1,18}\Z")
+        )
+    )
+)
 def test_ids_are_packed_without_loss(ids: set[str]) -> None:
     assert set(unpack_ids(pack_ids(tuple(ids)))) == ids
 
@@ -142,7 +165,8 @@
     world.leader.silent = True
     world.elect("b")
     assert {view.state for job_id in chains[0] if (view := world.leader.term.lookup(job_id)) is not None} <= {
-        "cancelled"}
+        "cancelled"
+    }
     world.run(20.0)
     assert [world.states()[job_id] for job_id in chains[0]] == ["cancelled"] * 4
     late = job(30, hands=1, tows=[chains[0][2]])
@@ -169,8 +193,10 @@
     left = [key for key in world.store.data if key.startswith("driftcleat/jobs/")]
     assert len(left) > 5 and f"driftcleat/jobs/{ids[0]}" not in left, "their own records are still open"
     world.elect("b")
-    assert {world.leader.term.lookup(f"req-{number:06d}").state  # type: ignore[union-attr]
-            for number in range(2, 12)} == {"cancelled"}
+    assert {
+        world.leader.term.lookup(f"req-{number:06d}").state  # type: ignore[union-attr]
+        for number in range(2, 12)
+    } == {"cancelled"}
     world.run(10.0)
     assert not [key for key in world.store.data if key.startswith("driftcleat/jobs/")]
 
@@ -201,10 +227,19 @@
     for number in range(1, 41):
         known = sorted(world.told)
         needs = rng.sample(known, min(len(known), rng.randrange(4)))
-        world.submit(job(number, hands=rng.choice([1, 2, 3]), cores=1.0, accelerators=0.5,
-                         rig=rng.choice(["array", "array", "group"]), crew=rng.choice(["red", "blue"]),
-                         rank=rng.choice(["high", "standard", "best_effort"]), voyageS=rng.choice([2.0, 8.0]),
-                         tows=needs))
+        world.submit(
+            job(
+                number,
+                hands=rng.choice([1, 2, 3]),
+                cores=1.0,
+                accelerators=0.5,
+                rig=rng.choice(["array", "array", "group"]),
+                crew=rng.choice(["red", "blue"]),
+                rank=rng.choice(["high", "standard", "best_effort"]),
+                voyageS=rng.choice([2.0, 8.0]),
+                tows=needs,
+            )
+        )
         if known and rng.random() < 0.15:
             world.cancel(rng.choice(known))
         if rng.random() < 0.1:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,12 +17,22 @@
     # A gang that is to be spread and to stay in one zone can never start: no user means that.
     spread = rng.random() < 0.2
     harbor = None if spread and rig == "group" else rng.choice([None, None, "north"])
-    return job(number, rig=rig, crew=rng.choice(["red", "blue"]),
-               rank=rng.choice(["critical", "high", "standard", "best_effort"]), hands=rng.choice([1, 1, 2, 3, 4]),
-               cores=rng.choice([1.0, 2.0, 4.0]), accelerators=rng.choice([1.0, 1.0, 1.5]),
-               builds=rng.choice([None, None, ["big"], ["small", "big"]]), harbor=harbor,
-               together=not spread and rng.random() < 0.2, spread=spread, driftwood=rng.random() < 0.4,
-               voyageS=rng.choice([0.0, 5.0, 20.0, 40.0]), mooringS=rng.choice([0.0, 10.0]))
+    return job(
+        number,
+        rig=rig,
+        crew=rng.choice(["red", "blue"]),
+        rank=rng.choice(["critical", "high", "standard", "best_effort"]),
+        hands=rng.choice([1, 1, 2, 3, 4]),
+        cores=rng.choice([1.0, 2.0, 4.0]),
+        accelerators=rng.choice([1.0, 1.0, 1.5]),
+        builds=rng.choice([None, None, ["big"], ["small", "big"]]),
+        harbor=harbor,
+        together=not spread and rng.random() < 0.2,
+        spread=spread,
+        driftwood=rng.random() < 0.4,
+        voyageS=rng.choice([0.0, 5.0, 20.0, 40.0]),
+        mooringS=rng.choice([0.0, 10.0]),
+    )
 
 
 def trouble(world: World, rng: random.Random) -> None:
@@ -108,7 +118,7 @@
     world.elect()
     world.submit(job(1, hands=1, voyageS=100.0))
     world.run(40)
-    (first, task), = world.on_machines()
+    ((first, task),) = world.on_machines()
     world.boot(RentalRecord("big", "north", False, 1, 0.0))
     other = world.workers[f"vm-{world.rented:06d}"]
     with pytest.raises(RuleBroken, match="ran_twice"):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,16 +17,21 @@
 
 def live(test: Callable[[Site], Awaitable[None]]) -> Callable[[], None]:
     """Run a test with a site of its own."""
+
     def run() -> None:
         async def inside() -> None:
             async with Site() as site:
                 await until(site.leader, "a leader")
                 leader = site.leader()
-                await until(lambda: all(site.controllers[label].leader == leader for label in site.running),
-                            "all know the leader")
+                await until(
+                    lambda: all(site.controllers[label].leader == leader for label in site.running),
+                    "all know the leader",
+                )
                 await until(lambda: site.controllers[leader].term.cluster.types, "the machine types")
                 await test(site)
+
         asyncio.run(inside())
+
     run.__name__, run.__doc__ = test.__name__, test.__doc__
     return run
 
@@ -39,6 +44,7 @@
         status, _, _ = await site.call(label, "POST", "/v1/jobs", raw)
         assert status in (200, 201, 429, 503)
         return status in (200, 201)
+
     await until(once, "accepted")
 
 
@@ -53,8 +59,10 @@
 
 async def reaches(site: Site, label: str, job_id: str, state: str) -> None:
     """Poll until a job has a state."""
+
     async def once() -> bool:
         return await state_of(site, label, job_id) == state
+
     await until(once, f"{job_id} {state}")
 
 
@@ -87,8 +95,14 @@
     leader = site.leader()
     assert leader is not None
     for label in "abc":
-        for body, field in ((b"{", "body"), (b"[]", "body"), (b"\xff\xfe", "body"), ({"nameId": "x"}, "nameId"),
-                            (raw_job(5, hands=0), "hands"), (raw_job(5, rig="swarm"), "rig")):
+        for body, field in (
+            (b"{", "body"),
+            (b"[]", "body"),
+            (b"\xff\xfe", "body"),
+            ({"nameId": "x"}, "nameId"),
+            (raw_job(5, hands=0), "hands"),
+            (raw_job(5, rig="swarm"), "rig"),
+        ):
             status, answer, _ = await site.call(label, "POST", "/v1/jobs", body)
             assert (status, answer["field"]) == (400, field)
         assert (await site.call(label, "POST", "/v1/jobs", b" " * 70_000))[0] == 413
@@ -218,9 +232,11 @@
 
 def test_the_live_decorator_reports_failures() -> None:
     """The other tests here must be able to fail."""
+
     @live
     async def fails(site: Site) -> None:
         assert site.leader() is None
+
     with pytest.raises(AssertionError):
         fails()
 
@@ -277,6 +293,7 @@
 
     async def unready() -> bool:
         return not await ready(follower)
+
     await until(unready, "the follower is not ready")
     assert await ready(leader)
     status, _, headers = await site.call(follower, "POST", "/v1/jobs", raw_job(2))
@@ -321,8 +338,10 @@
     site.store.heal()
     for label in "abc":
         for number in (1, 2, 3):
+
             async def answered(label: str = label, number: int = number) -> bool:
                 return await state_of(site, label, f"req-{number:06d}") is not None
+
             await until(answered, f"{label} answers")
     for number in (1, 2, 3):
         await reaches(site, "b", f"req-{number:06d}", "running")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -41,14 +41,22 @@
 """
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    (("bind",), "nowhere"), (("label",), ""), (("external", "state"), 7), (("deployment", "zones"), []),
-    (("deployment", "workers", "lease_s"), 0), (("deployment", "state", "txn_ops"), 2.5),
-    (("deployment", "workers", "report_s"), None), (("deployment", "teams"), [{"name": "x"}, {"name": "x"}]),
-    (("known",), [{"label": "a", "domain": "z", "address": "h:1"}]),
-    # Guards against a process that starts and then has no descriptor for its lease's renewal.
-    (("deployment", "resources", "fd_limit"), 100),
-])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("bind",), "nowhere"),
+        (("label",), ""),
+        (("external", "state"), 7),
+        (("deployment", "zones"), []),
+        (("deployment", "workers", "lease_s"), 0),
+        (("deployment", "state", "txn_ops"), 2.5),
+        (("deployment", "workers", "report_s"), None),
+        (("deployment", "teams"), [{"name": "x"}, {"name": "x"}]),
+        (("known",), [{"label": "a", "domain": "z", "address": "h:1"}]),
+        # Guards against a process that starts and then has no descriptor for its lease's renewal.
+        (("deployment", "resources", "fd_limit"), 100),
+    ],
+)
 def test_a_bad_setting_is_named(path: tuple[str, ...], value: Any) -> None:
     raw = raw_settings()
     table = raw
@@ -63,11 +71,17 @@
     assert "site.toml" in str(caught.value) and path[-1] in str(caught.value) and "\n" not in str(caught.value)
 
 
-@pytest.mark.parametrize(("text", "key"), [
-    ("[placement]\nsample = many\n", "placement.sample"), ("[placement]\nsampel = 3\n", "placement.sampel"),
-    ("[leadership]\nttl = 5\n", "leadership.ttl"), ("[fleet]\nsample = 3\n", "fleet.sample"),
-    ("sample = 3\n", "INI"), ("[fleet]\nidle = nan\n", "fleet.idle"),
-])
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("[placement]\nsample = many\n", "placement.sample"),
+        ("[placement]\nsampel = 3\n", "placement.sampel"),
+        ("[leadership]\nttl = 5\n", "leadership.ttl"),
+        ("[fleet]\nsample = 3\n", "fleet.sample"),
+        ("sample = 3\n", "INI"),
+        ("[fleet]\nidle = nan\n", "fleet.idle"),
+    ],
+)
 def test_a_bad_operator_setting_is_named(tmp_path: Path, text: str, key: str) -> None:
     path = tmp_path / "ops.ini"
     path.write_text(text)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -111,9 +111,24 @@
     world.run(60.0)
 
 
-@pytest.mark.parametrize("happen", [
-    cut, hang_and_resume, hang_for_good, sick, spot_wave, cloud_down, store_down, leader_crashes, all_crash,
-    rolling_restarts, old_leader_lives_on, burst, bad_network])
+@pytest.mark.parametrize(
+    "happen",
+    [
+        cut,
+        hang_and_resume,
+        hang_for_good,
+        sick,
+        spot_wave,
+        cloud_down,
+        store_down,
+        leader_crashes,
+        all_crash,
+        rolling_restarts,
+        old_leader_lives_on,
+        burst,
+        bad_network,
+    ],
+)
 def test_a_trouble_breaks_no_rule_and_work_goes_on(happen: Callable[[World], None]) -> None:
     world = busy_world()
     happen(world)
@@ -130,8 +145,11 @@
 
 def test_an_outage_of_the_store_costs_no_running_work() -> None:
     world = busy_world()
-    before = {(worker.name, task.job.id, task.index, task.attempt) for worker, task in world.on_machines()
-              if task.job.id == "req-000003"}
+    before = {
+        (worker.name, task.job.id, task.index, task.attempt)
+        for worker, task in world.on_machines()
+        if task.job.id == "req-000003"
+    }
     store_down(world)
     after = {(worker.name, task.job.id, task.index, task.attempt) for worker, task in world.on_machines()}
     assert before <= after
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -50,8 +50,11 @@
 
 def items(prefix: str) -> list[state_messages.Item]:
     """Return the recorded records under a prefix."""
-    return [state_messages.Item(msgspec.Raw(wire.encode(value)), 5, key)
-            for key, value in RECORDED["records"].items() if key.startswith(prefix)]
+    return [
+        state_messages.Item(msgspec.Raw(wire.encode(value)), 5, key)
+        for key, value in RECORDED["records"].items()
+        if key.startswith(prefix)
+    ]
 
 
 def facts(found: Job) -> tuple[Any, ...]:
@@ -81,8 +84,9 @@
         beyond = [*head[7:], *(spec[name] for name in spec if name not in known)]
         assert all(value in (None, 0, "") for value in beyond)
         chunks = {ours.chunk_of(found, index) for index in range(found.spec.tasks)} - {0}
-        assert chunks == {int(key.rpartition("/")[2]) for key in RECORDED["records"] if key.startswith(
-            CHUNKS + found.id + "/")}
+        assert chunks == {
+            int(key.rpartition("/")[2]) for key in RECORDED["records"] if key.startswith(CHUNKS + found.id + "/")
+        }
         for chunk in chunks:
             key = chunk_key(found.id, chunk)
             assert json.loads(wire.encode(ours.chunk(found, chunk))) == RECORDED["records"][key]
@@ -103,7 +107,7 @@
         known: Any = wire.decode(raw, peers.PeerMessage)  # type: ignore[arg-type]
         assert getattr(known, "data_version", 1) == 1, "it has not said that it is new"
         # Ours has the same tag and begins with the same elements: what production does not know comes behind.
-        assert json.loads(wire.encode(known))[:len(message)] == message
+        assert json.loads(wire.encode(known))[: len(message)] == message
     assert json.loads(wire.encode(peers.Ping("a", 2))) == ["ping", "a", 2]
 
 
@@ -124,13 +128,21 @@
     new = layout(switched=True)
     split = new.own_split(big)
     assert 1 < split < 50 and new.must_move(big)
-    half = [state_messages.Item(msgspec.Raw(wire.encode(new.chunk_in(big, split, number))), 7,
-                                chunk_key(big.id, number, split)) for number in range(1, 4)]
+    half = [
+        state_messages.Item(
+            msgspec.Raw(wire.encode(new.chunk_in(big, split, number))), 7, chunk_key(big.id, number, split)
+        )
+        for number in range(1, 4)
+    ]
     again, orphans = load_jobs(items(JOBS), [*items(CHUNKS), *half])
     assert facts(again[big.id]) == facts(big)
     assert orphans == [item.key for item in half]
-    whole = [state_messages.Item(msgspec.Raw(wire.encode(new.chunk_in(big, split, number))), 7,
-                                 chunk_key(big.id, number, split)) for number in range(1, -(-240 // split))]
+    whole = [
+        state_messages.Item(
+            msgspec.Raw(wire.encode(new.chunk_in(big, split, number))), 7, chunk_key(big.id, number, split)
+        )
+        for number in range(1, -(-240 // split))
+    ]
     moved = big.copy()
     moved.split = split
     head = state_messages.Item(msgspec.Raw(wire.encode(new.head(moved))), 8, JOBS + big.id)
@@ -190,9 +202,19 @@
     for step in range(30):
         number = step + 1
         needs = rng.sample(sorted(world.told), min(len(world.told), 2)) if switched_at is not None else []
-        world.submit(job(number, hands=rng.choice([1, 3, 30, 110, 130]), cores=0.1, accelerators=0.0, memGb=0.1,
-                         rig=rng.choice(["array", "array", "daemon", "group"]) if number % 3 else "array",
-                         crew=rng.choice(["red", "blue"]), voyageS=rng.choice([3.0, 20.0, 60.0]), tows=needs))
+        world.submit(
+            job(
+                number,
+                hands=rng.choice([1, 3, 30, 110, 130]),
+                cores=0.1,
+                accelerators=0.0,
+                memGb=0.1,
+                rig=rng.choice(["array", "array", "daemon", "group"]) if number % 3 else "array",
+                crew=rng.choice(["red", "blue"]),
+                voyageS=rng.choice([3.0, 20.0, 60.0]),
+                tows=needs,
+            )
+        )
         if world.told and rng.random() < 0.2:
             world.cancel(rng.choice(sorted(world.told)))
         new = step >= switch_at
@@ -244,6 +266,7 @@
         sim.call_off("req-000002")
         await sim.settle_down()
         assert sim.state.refused == 0
+
     sim = Simulation(2, value_kb=16.0, next=NEXT)
     sim.old.update(LABELS)
     sim.play(story)
@@ -251,6 +274,7 @@
 
 def test_limits_that_fall_before_the_switch_prove_that_all_are_new() -> None:
     """A refusal for size ends no term, turns in no circle and loses nothing."""
+
     async def story(sim: Simulation) -> None:
         leader = sim.lead()
         assert leader is not None and VERSION not in sim.store.data
@@ -265,6 +289,7 @@
         await sim.settle_down()
         assert sim.controllers[leader].election.token == token and 1 <= sim.state.refused < 5
         assert set(sim.told.values()) == {"done"}
+
     sim = Simulation(3, value_kb=16.0, next=NEXT)
     sim.old.update(LABELS)
     sim.play(story)
@@ -277,8 +302,14 @@
         await sim.rest(3.0)
         for label in LABELS:
             too_many = [f"req-{number:018d}" for number in range(10**17, 10**17 + 9 * 10**15, 10**13)]
-            for needs, expected in ((["req-000099"], 422), (["req-000002"], 422), (["req-000050"], 422), ("x", 400),
-                                    (["x"], 400), (too_many, 400)):
+            for needs, expected in (
+                (["req-000099"], 422),
+                (["req-000002"], 422),
+                (["req-000050"], 422),
+                ("x", 400),
+                (["x"], 400),
+                (too_many, 400),
+            ):
                 status, _ = await sim.ask("POST", "/v1/jobs", raw_job(50, tows=needs), label)
                 assert status == expected, (label, needs[:3])
             assert (await sim.ask("GET", "/v1/jobs/req-000050", label=label))[0] == 404
@@ -303,4 +334,5 @@
         assert status == 503
         del sim.controllers[leader].term._take_doomed  # type: ignore[union-attr]
         await sim.settle_down()
+
     Simulation(4).play(story)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,13 +13,33 @@
 from .samples import raw_job
 
 
-@pytest.mark.parametrize(("field", "value"), [
-    ("nameId", "job-1"), ("nameId", 7), ("nameId", "req-"), ("nameId", "req-1\n"), ("rig", "swarm"),
-    ("rank", "urgent"),
-    ("hands", 0), ("hands", 100_001), ("hands", 2.5), ("hands", True), ("cores", -1.0), ("cores", "4"),
-    ("accelerators", None), ("memGb", float("nan")), ("together", 1), ("builds", []), ("builds", ["g", 3]),
-    ("harbor", ""), ("hull", ""), ("voyageS", -0.5), ("tideS", "soon"), ("crew", "x" * 300),
-])
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("nameId", "job-1"),
+        ("nameId", 7),
+        ("nameId", "req-"),
+        ("nameId", "req-1\n"),
+        ("rig", "swarm"),
+        ("rank", "urgent"),
+        ("hands", 0),
+        ("hands", 100_001),
+        ("hands", 2.5),
+        ("hands", True),
+        ("cores", -1.0),
+        ("cores", "4"),
+        ("accelerators", None),
+        ("memGb", float("nan")),
+        ("together", 1),
+        ("builds", []),
+        ("builds", ["g", 3]),
+        ("harbor", ""),
+        ("hull", ""),
+        ("voyageS", -0.5),
+        ("tideS", "soon"),
+        ("crew", "x" * 300),
+    ],
+)
 def test_a_wrong_field_is_named(field: str, value: object) -> None:
     with pytest.raises(BadField) as caught:
         parse_submission(raw_job(**{field: value}))
@@ -41,10 +61,14 @@
 
 
 @settings(derandomize=True, max_examples=200)
-@given(st.binary(max_size=80) | st.recursive(
-    st.none() | st.booleans() | st.floats() | st.text(max_size=5),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
-    max_leaves=6).map(lambda value: msgspec.json.encode(value)))
+@given(
+    st.binary(max_size=80)
+    | st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(max_size=5),
+        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+        max_leaves=6,
+    ).map(lambda value: msgspec.json.encode(value))
+)
 def test_any_body_is_an_object_or_a_clean_error(body: bytes) -> None:
     try:
         raw = parse_object(body)
@@ -63,11 +87,15 @@
 def test_names_on_the_wire() -> None:
     report = wire.decode(
         b'{"bollard":"vm-1","addr":"h:1","build":"g","harbor":"a","driftwood":true,"watch":1,"knot":8,"helm":4,'
-        b'"hands":[{"hand":"req-1/3","launch":2,"bearing":"exited","wreck":"done"}],"new":1}', Report)
+        b'"hands":[{"hand":"req-1/3","launch":2,"bearing":"exited","wreck":"done"}],"new":1}',
+        Report,
+    )
     assert (report.machine, report.session, report.seq, report.token) == ("vm-1", 1, 8, 4)
     assert report.tasks[0].why == "done" and report.notice_s is None
-    assert wire.encode(Signal("kill", "req-1/3", 2, 0.0)) == \
-        b'{"signal":"kill","hand":"req-1/3","launch":2,"slackS":0.0}'
+    assert (
+        wire.encode(Signal("kill", "req-1/3", 2, 0.0))
+        == b'{"signal":"kill","hand":"req-1/3","launch":2,"slackS":0.0}'
+    )
     assert wire.encode(Signal("start", "req-1/3", 2)) == b'{"signal":"start","hand":"req-1/3","launch":2}'
     assert split_task(task_name("req-7", 12)) == ("req-7", 12)
     for name in ("req-7", "req-7/", "req-7/-1", "req-7/x", "/1234567"):
--- a/tests/world.py
+++ b/tests/world.py
@@ -65,7 +65,9 @@
         """Whether a transaction keeps to the limits."""
         return len(raw["then"]) <= self.txn_ops and all(
             len(json.dumps(change["v"], separators=(",", ":"))) <= self.value_bytes
-            for change in raw["then"] if "put" in change)
+            for change in raw["then"]
+            if "put" in change
+        )
 
     def txn(self, body: bytes) -> int | None:
         """Carry out a transaction as it came over the wire; None if a condition fails."""
@@ -91,8 +93,11 @@
 
     def items(self, prefix: str) -> list[state_messages.Item]:
         """Return the items under a prefix."""
-        return [state_messages.Item(wire.encode(value), version, key)  # type: ignore[arg-type]
-                for key, (value, version) in sorted(self.data.items()) if key.startswith(prefix)]
+        return [
+            state_messages.Item(wire.encode(value), version, key)  # type: ignore[arg-type]
+            for key, (value, version) in sorted(self.data.items())
+            if key.startswith(prefix)
+        ]
 
 
 @dataclass
@@ -130,9 +135,20 @@
     def report(self) -> Report:
         """Return the newest report."""
         self.seq += 1
-        return Report(self.name, f"{self.name}:1", self.kind.name, self.zone, self.spot, self.session, self.seq,
-                      self.token, tuple(TaskReport(f"{task.job.id}/{task.index}", task.attempt, task.state, task.why,
-                                                   task.saved or None) for task in self.tasks.values()))
+        return Report(
+            self.name,
+            f"{self.name}:1",
+            self.kind.name,
+            self.zone,
+            self.spot,
+            self.session,
+            self.seq,
+            self.token,
+            tuple(
+                TaskReport(f"{task.job.id}/{task.index}", task.attempt, task.state, task.why, task.saved or None)
+                for task in self.tasks.values()
+            ),
+        )
 
     def answer(self, session: int, seq: int, token: int, signals: list[Signal], sent_at: float) -> None:
         """Take the answer to a report, unless it comes too late or from a leader of before."""
@@ -183,8 +199,10 @@
         live = [other for other in self.tasks.values() if other.state != "exited" and other is not task]
         if any(other.job.id == job.id and other.index == key[1] for other in live):
             task.state, task.why = "exited", "busy"
-        elif (sum(other.job.cpus for other in live) + job.cpus > self.kind.cpus + 1e-6
-              or sum(other.job.gpus for other in live) + job.gpus > self.kind.gpus + 1e-6):
+        elif (
+            sum(other.job.cpus for other in live) + job.cpus > self.kind.cpus + 1e-6
+            or sum(other.job.gpus for other in live) + job.gpus > self.kind.gpus + 1e-6
+        ):
             task.state, task.why = "exited", "no_room"
         else:
             self.world.check_start(self, task)
@@ -314,6 +332,7 @@
 
         def arrive() -> None:
             self.take_report(leader, worker, report, sent_at)
+
         self.post(arrive)
 
     def take_copy(self, report: Report) -> None:
@@ -340,6 +359,7 @@
         def arrive() -> None:
             if not worker.cut and not worker.deaf:
                 worker.answer(report.session, report.seq, token, signals, sent_at)
+
         self.post(arrive)
 
     # -- leaders ------------------------------------------------------------------------------------------
@@ -355,11 +375,18 @@
         over = {need for job in jobs.values() for need in job.spec.needs or () if need not in jobs}
         ended = {need: str(self.store.data[ENDED + need][0][0]) for need in over if ENDED + need in self.store.data}
         cluster = Cluster(token, jobs, dict(self.types), self.now, self.platform.lease_s, ended)
-        term = Term(self.platform, Tuning(), cluster, layout, random.Random(self.rng.random()),
-                    lambda: self.now, lambda: self.now)
+        term = Term(
+            self.platform,
+            Tuning(),
+            cluster,
+            layout,
+            random.Random(self.rng.random()),
+            lambda: self.now,
+            lambda: self.now,
+        )
         term.garbage.extend(orphans)
         for item in self.store.items(RENTALS):
-            name = item.key[len(RENTALS):]
+            name = item.key[len(RENTALS) :]
             term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
         mark = self.store.data.get(BATCH, (None, 0))
         leader = Leader(term, mark[1], old=old)
@@ -384,8 +411,9 @@
                     call()
                 return
             leader.number += 1
-            encoded = encode_batch(batch, leader.term.layout, leader.term.cluster.token, leader.number,
-                                   leader.mark_version)
+            encoded = encode_batch(
+                batch, leader.term.layout, leader.term.cluster.token, leader.number, leader.mark_version
+            )
             if leader.old:
                 encoded.body = as_production_writes(encoded.body)
             leader.in_flight = (batch, encoded)
@@ -471,9 +499,13 @@
         def answered(view: JobView | None) -> None:
             if view is not None:
                 self.tell(view)
+
         # What the users' interface finds out: the final states of needed jobs that are over.
-        ended = {need: str(self.store.data[ENDED + need][0][0]) for need in spec.needs or ()
-                 if ENDED + need in self.store.data}
+        ended = {
+            need: str(self.store.data[ENDED + need][0][0])
+            for need in spec.needs or ()
+            if ENDED + need in self.store.data
+        }
         leader.term.submissions.append(Ticket(answered, spec, spec.id, ended))
 
     def cancel(self, job_id: str) -> None:
@@ -486,6 +518,7 @@
                 self.tell(view)
                 if view.state == "cancelled":
                     self.cancelled_at.setdefault(job_id, self.now)
+
         self.wanted_off.add(job_id)
         self.leader.term.cancels.append(Ticket(answered, None, job_id))
 
@@ -522,8 +555,11 @@
         others = [(where, other) for where, other in self.on_machines() if other is not task]
         if any(other.job.id == job.id and other.index == task.index for _, other in others):
             raise RuleBroken(f"ran_twice: {job.id}/{task.index} on {worker.name}")
-        if ((job.types is not None and worker.kind.name not in job.types)
-                or (job.zone is not None and worker.zone != job.zone) or (worker.spot and not job.spot)):
+        if (
+            (job.types is not None and worker.kind.name not in job.types)
+            or (job.zone is not None and worker.zone != job.zone)
+            or (worker.spot and not job.spot)
+        ):
             raise RuleBroken(f"wrong_place: {job.id} on {worker.name}")
         mates = [where.zone for where, other in others if other.job.id == job.id]
         if job.one_zone and any(zone != worker.zone for zone in mates):
@@ -551,8 +587,10 @@
 
     def cancelled_before(self, job_id: str) -> float | None:
         """Return when a user was first told that this job, or any that it needs, is cancelled."""
-        return min((self.cancelled_at[other] for other in self.with_needs(job_id) if other in self.cancelled_at),
-                   default=None)
+        return min(
+            (self.cancelled_at[other] for other in self.with_needs(job_id) if other in self.cancelled_at),
+            default=None,
+        )
 
     def check_cancelled(self, job_id: str) -> None:
         """A task of this job is on a machine now."""
--- a/tools/load.py
+++ b/tools/load.py
@@ -54,8 +54,9 @@
     "hki": Size(619, 3.0, 17.0, 42.0, 200.0, 50.0, 8.0, 24, 2.0, 0.252, 151.0, 924),
     "kandla": Size(591, 2.5, 14.0, 34.0, 300.0, 120.0, 16.0, 12, 6.0, 0.468, 201.0, 1571),
 }
-SIZES |= {f"{name}-half-more": dataclasses.replace(size, machines=size.machines * 3 // 2)
-          for name, size in SIZES.items()}
+SIZES |= {
+    f"{name}-half-more": dataclasses.replace(size, machines=size.machines * 3 // 2) for name, size in SIZES.items()
+}
 # A worker gives an answer up after so long.
 WORKER_S = 4.0
 
@@ -63,8 +64,10 @@
 def toml(site: Site, label: str, size: Size) -> str:
     """Return the settings file of one controller."""
     platform = site.platforms[label]
-    peers = "".join(f'[[known]]\nlabel = "{peer.label}"\ndomain = "{peer.zone}"\naddress = "{peer.address}"\n'
-                    for peer in platform.peers)
+    peers = "".join(
+        f'[[known]]\nlabel = "{peer.label}"\ndomain = "{peer.zone}"\naddress = "{peer.address}"\n'
+        for peer in platform.peers
+    )
     return f"""label = "{label}"
 domain = "north"
 bind = "{platform.bind}"
@@ -113,8 +116,13 @@
     async def _run(self, label: str, path: Path) -> None:
         limit = self.size.fd_limit
         process = await asyncio.create_subprocess_exec(
-            sys.executable, str(ROOT / "run.py"), "--config", str(path), env={**os.environ, "LOG_LEVEL": "error"},
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)))
+            sys.executable,
+            str(ROOT / "run.py"),
+            "--config",
+            str(path),
+            env={**os.environ, "LOG_LEVEL": "error"},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
+        )
         self.controllers[label] = process
         try:
             await process.wait()
@@ -128,8 +136,11 @@
     """Return processor seconds, resident MB and open descriptors."""
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     ticks = int(fields[11]) + int(fields[12])
-    return (ticks / os.sysconf("SC_CLK_TCK"), int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 2**20,
-            len(os.listdir(f"/proc/{pid}/fd")))
+    return (
+        ticks / os.sysconf("SC_CLK_TCK"),
+        int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 2**20,
+        len(os.listdir(f"/proc/{pid}/fd")),
+    )
 
 
 class Peaks:
@@ -162,6 +173,7 @@
             began = time.monotonic()
             await report(worker, newest, sent_at)
             self.taken.append(time.monotonic() - began)
+
         site.world._report = timed  # type: ignore[method-assign]
 
     def late(self) -> int:
@@ -254,8 +266,9 @@
             site.world.boot(RentalRecord("big", "north" if number % 2 else "south", False, 1, 0.0))
         await until(lambda: len(site.controllers) == 3, "three processes")
         free = Team("red", 0.0, 0.0, 0.0, 0.0)
-        site.world.platform = dataclasses.replace(site.world.platform, teams={"red": free}, report_s=size.report_s,
-                                                  lease_s=size.lease_s)
+        site.world.platform = dataclasses.replace(
+            site.world.platform, teams={"red": free}, report_s=size.report_s, lease_s=size.lease_s
+        )
         specs = [job(number, **CHANGES) for number in range(1, jobs + 1)]
         site.world.specs = {spec.id: spec for spec in specs}
         await asyncio.sleep(5)
@@ -267,29 +280,44 @@
         watching.cancel()
         spent = time.monotonic() - began
         median, late = (taken[int(len(taken) * share)] * 1e3 for share in (0.5, 0.99))
-        print(f"{machines} machines, {jobs} jobs of {CHANGES['hands']} tasks, {spent:.0f} s, a share of "
-              f"{size.core_share:.1%} of a core and {size.memory_mb:.0f} MB allowed")
+        print(
+            f"{machines} machines, {jobs} jobs of {CHANGES['hands']} tasks, {spent:.0f} s, a share of "
+            f"{size.core_share:.1%} of a core and {size.memory_mb:.0f} MB allowed"
+        )
         print(f"submissions p50 {median:.0f} ms, p99 {late:.0f} ms; tasks started {site.world.started}")
         for label, process in sorted(site.controllers.items()):
             cpu, memory, sockets = usage(process.pid)
-            print(f"controller {label} since the restart: {cpu:.1f} s of a core, {memory:.0f} MB, "
-                  f"{sockets} of {size.fd_limit} descriptors")
+            print(
+                f"controller {label} since the restart: {cpu:.1f} s of a core, {memory:.0f} MB, "
+                f"{sockets} of {size.fd_limit} descriptors"
+            )
             counted = await metrics(site, label)
             if counted["role"] == "leading":
                 parts = ", ".join(f"{part} {value:.2f} s" for part, value in counted["parts_s"].items())
                 print(f"  leader's parts: {parts}; connections {counted['connections']}")
-                print("  " + "; ".join("{} p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms".format(name, **counted[name])
-                                       for name in ("reports", "batch", "build", "users")))
+                print(
+                    "  "
+                    + "; ".join(
+                        "{} p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms".format(name, **counted[name])
+                        for name in ("reports", "batch", "build", "users")
+                    )
+                )
         for path in site.paths:
             path.unlink(missing_ok=True)
     slowest = sorted(answers.taken)
-    print(f"reports: {len(slowest)}, p50 {slowest[len(slowest) // 2] * 1e3:.0f} ms, p99 "
-          f"{slowest[int(len(slowest) * 0.99)] * 1e3:.0f} ms, {answers.late()} above {WORKER_S:.0f} s")
+    print(
+        f"reports: {len(slowest)}, p50 {slowest[len(slowest) // 2] * 1e3:.0f} ms, p99 "
+        f"{slowest[int(len(slowest) * 0.99)] * 1e3:.0f} ms, {answers.late()} above {WORKER_S:.0f} s"
+    )
     print(f"all controllers restarted: a leader after {led:.2f} s, the first report answered after {answered:.2f} s")
-    print(f"most at once: {peaks.memory:.0f} of {size.memory_mb:.0f} MB, "
-          f"{peaks.sockets} of {size.fd_limit} descriptors")
-    return (peaks.memory < size.memory_mb and peaks.sockets < size.fd_limit
-            and answers.late() <= len(answers.taken) // 1000)
+    print(
+        f"most at once: {peaks.memory:.0f} of {size.memory_mb:.0f} MB, {peaks.sockets} of {size.fd_limit} descriptors"
+    )
+    return (
+        peaks.memory < size.memory_mb
+        and peaks.sockets < size.fd_limit
+        and answers.late() <= len(answers.taken) // 1000
+    )
 
 
 def main() -> None:
--- a/tools/mixed.py
+++ b/tools/mixed.py
@@ -50,8 +50,11 @@
         raw["deployment"]["state"]["next"] = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 400.0}
         config.write_text("".join(f"{key} = {toml(value)}\n" for key, value in raw.items()))
         # Errors go to our own standard error; nothing else is said.
-        self.running[label] = subprocess.Popen([sys.executable, "run.py", "--config", str(config)], cwd=sources,
-                                               env={"LOG_LEVEL": "error", "PATH": "/usr/bin:/bin"})
+        self.running[label] = subprocess.Popen(
+            [sys.executable, "run.py", "--config", str(config)],
+            cwd=sources,
+            env={"LOG_LEVEL": "error", "PATH": "/usr/bin:/bin"},
+        )
         self.site.world.fronts[label] = self.site.platforms[label].bind
 
     def end(self, label: str) -> None:
@@ -75,12 +78,14 @@
             except OSError:
                 continue
         return False
+
     await until(once, "accepted")
     return str(raw["nameId"])
 
 
 async def ended(site: Site, job_id: str, state: str) -> None:
     """Poll until a job has a final state."""
+
     async def once() -> bool:
         for label in list(site.world.fronts):
             try:
@@ -90,11 +95,13 @@
             if status == 200:
                 return bool(answer["bearing"] == state)
         return False
+
     await until(once, f"{job_id} {state}", 120.0)
 
 
 async def play(folder: Path, production: Path, newest: Path) -> None:
     """Upgrade a site with work under way."""
+
     class Bare(Site):
         def start(self, label: str) -> None:
             processes.start(label, production)
