--- a/tools/record.py
+++ b/tools/record.py
@@ -20,19 +20,39 @@
     """Return jobs of all kinds and sizes, some tasks placed, stopped or done."""
     rng = random.Random(1)
     out = []
-    for number, (kind, tasks) in enumerate([("array", 1), ("array", 60), ("array", 240), ("group", 3), ("group", 130),
-                                            ("daemon", 12)], 1):
-        raw = {"nameId": f"req-{number:06d}", "cargo": "train", "crew": "red", "rig": kind, "rank": "high",
-               "hands": tasks, "cores": 1.0, "accelerators": 0.0, "memGb": 4.0, "hull": "img-1", "imageGb": 2.0,
-               "builds": ["big"], "harbor": None, "together": False, "spread": False, "driftwood": True,
-               "voyageS": 30.0, "mooringS": 10.0, "stowS": 2.0, "tideS": 100.0}
+    for number, (kind, tasks) in enumerate(
+        [("array", 1), ("array", 60), ("array", 240), ("group", 3), ("group", 130), ("daemon", 12)], 1
+    ):
+        raw = {
+            "nameId": f"req-{number:06d}",
+            "cargo": "train",
+            "crew": "red",
+            "rig": kind,
+            "rank": "high",
+            "hands": tasks,
+            "cores": 1.0,
+            "accelerators": 0.0,
+            "memGb": 4.0,
+            "hull": "img-1",
+            "imageGb": 2.0,
+            "builds": ["big"],
+            "harbor": None,
+            "together": False,
+            "spread": False,
+            "driftwood": True,
+            "voyageS": 30.0,
+            "mooringS": 10.0,
+            "stowS": 2.0,
+            "tideS": 100.0,
+        }
         job = Job(parse_submission(raw), 1000.0 + number)
         job.launch = 7
         for index in range(tasks):
             roll = rng.random()
             if roll < 0.6:
-                job.places[index] = Place(f"vm-{rng.randrange(40):06d}", "north", rng.randrange(1, 8),
-                                          2.0 if roll < 0.1 else None)
+                job.places[index] = Place(
+                    f"vm-{rng.randrange(40):06d}", "north", rng.randrange(1, 8), 2.0 if roll < 0.1 else None
+                )
                 job.status[index] = TaskState.PLACED
             elif roll < 0.8 and kind == "array":
                 job.status[index] = TaskState.DONE
@@ -52,12 +72,25 @@
         encoded = records.encode_batch(batch, records.Layout(8192, 1000), 5, 1, 0)
         for change in json.loads(encoded.body)["then"]:
             rows[change["put"]] = change["v"]
-    messages = [peers.Ask("a"), peers.Ping("a"),
-                peers.View("a", "leading", "a", 5, 0.1, -1.0, True, peers.Standing(0.0, ["req-000001"])),
-                peers.Pong("a", True, "a", 5, peers.Standing(0.5, None)), peers.Pong("b", False, None, 0),
-                peers.Forward("GET", "/v1/jobs/req-000001", ""), peers.Forwarded(200, "{}", None)]
-    json.dump({"value_bytes": 8192, "txn_ops": 24, "records": rows,
-               "messages": [json.loads(wire.encode(message)) for message in messages]}, sys.stdout, indent=0)
+    messages = [
+        peers.Ask("a"),
+        peers.Ping("a"),
+        peers.View("a", "leading", "a", 5, 0.1, -1.0, True, peers.Standing(0.0, ["req-000001"])),
+        peers.Pong("a", True, "a", 5, peers.Standing(0.5, None)),
+        peers.Pong("b", False, None, 0),
+        peers.Forward("GET", "/v1/jobs/req-000001", ""),
+        peers.Forwarded(200, "{}", None),
+    ]
+    json.dump(
+        {
+            "value_bytes": 8192,
+            "txn_ops": 24,
+            "records": rows,
+            "messages": [json.loads(wire.encode(message)) for message in messages],
+        },
+        sys.stdout,
+        indent=0,
+    )
 
 
 if __name__ == "__main__":
