--- a/driftcleat/api/http.py
+++ b/driftcleat/api/http.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 
 from driftcleat import wire
-from driftcleat.net import Door
-from driftcleat.net.door import Guest
+from driftcleat.net import ConnectionLimiter
+from driftcleat.net.limiter import ClientKind
 from driftcleat.wire.users import MAX_BODY, ErrorView
 
 log = logging.getLogger(__name__)
@@ -55,28 +55,30 @@
 
 
 class _Server(web.Server):
-    """A server that asks a door about each connection."""
+    """A server that asks a limiter about each connection."""
 
     def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int) -> None:
         super().__init__(handler, access_log=None, keepalive_timeout=75.0)
-        self.door: Door[web.RequestHandler] = Door(most, lambda guest: guest.force_close())
+        self.limiter: ConnectionLimiter[web.RequestHandler] = ConnectionLimiter(
+            most, lambda guest: guest.force_close()
+        )
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
-        if not self.door.opened(handler):
+        if not self.limiter.opened(handler):
             # Every connection is busy: better none than one that the state service or a peer then lacks.
             transport.abort()
 
     def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
         super().connection_lost(handler, exc)
-        self.door.gone(handler)
+        self.limiter.gone(handler)
 
 
 class Listener:
-    """One address that is served, and the door in front of it."""
+    """One address that is served, and the limiter of its connections."""
 
-    def __init__(self, runner: web.ServerRunner, door: Door[web.RequestHandler]) -> None:
-        self.runner, self.door = runner, door
+    def __init__(self, runner: web.ServerRunner, limiter: ConnectionLimiter[web.RequestHandler]) -> None:
+        self.runner, self.limiter = runner, limiter
 
     async def cleanup(self) -> None:
         """Stop serving."""
@@ -92,7 +94,7 @@
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        server.door.began(request.protocol, Guest.WORKER if request.path == workers else Guest.USER)
+        server.limiter.began(request.protocol, ClientKind.WORKER if request.path == workers else ClientKind.USER)
         try:
             body = await _read(request, most_body)
             answer = await handler(request.method, request.path, body)
@@ -109,7 +111,7 @@
         response = web.Response(
             status=answer.status, body=answer.body, content_type="application/json", headers=headers
         )
-        if server.door.ended(request.protocol) or answer.close:
+        if server.limiter.ended(request.protocol) or answer.close:
             response.force_close()
         return response
 
@@ -127,4 +129,4 @@
         raise
     # All that we could serve may come at once, and as many again that are told to wait by the kernel.
     await web.SockSite(runner, listener, backlog=most * 2).start()
-    return Listener(runner, server.door)
+    return Listener(runner, server.limiter)
--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -57,7 +57,7 @@
     @property
     def leader(self) -> str | None: ...
 
-    def kick(self) -> None: ...
+    def wake_writer(self) -> None: ...
 
 
 class UserApi:
@@ -168,7 +168,7 @@
         ended = await self._needed(term, spec)
         if isinstance(ended, Answer):
             return ended
-        if term.queue_full:
+        if term.admission.full:
             return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
         view = await self._decide(term, Ticket(lambda view: None, spec, job_id, ended), deadline, submission=True)
         if view is None:
@@ -195,22 +195,22 @@
 
     async def _known(self, term: Term, job_id: str) -> JobView | Answer | None:
         """Return a job's state from memory or the store, None if nobody knows it, or why that cannot be said."""
-        view = term.lookup(job_id)
+        view = term.admission.lookup(job_id)
         if view is None:
             try:
                 view = await self._final(job_id)
             except (StoreError, wire.WireError):
                 return self.unavailable("the state service does not answer")
-            view = view or term.lookup(job_id)
+            view = view or term.admission.lookup(job_id)
         return view if self._still(term) else self.unavailable("leadership changed")
 
     async def _decide(self, term: Term, ticket: Ticket, deadline: Deadline, submission: bool) -> JobView | None:
         """Wait until a request's batch is committed; None if that is given up."""
         future: asyncio.Future[JobView | None] = asyncio.get_running_loop().create_future()
         ticket.answer = lambda view: None if future.done() else future.set_result(view)
-        (term.submissions if submission else term.cancels).append(ticket)
+        (term.admission.submit if submission else term.admission.cancel)(ticket)
         self.outstanding.add(future)
-        self.lead.kick()
+        self.lead.wake_writer()
         try:
             return await asyncio.wait_for(future, min(self.platform.report_s, deadline.left_s))
         except TimeoutError:
@@ -227,7 +227,7 @@
         term = self.lead.term
         view = self.finals.get(job_id)
         if view is None and term is not None:
-            view = term.lookup(job_id)
+            view = term.admission.lookup(job_id)
             if view is not None and view.state not in FINAL and not self.lead.holds:
                 view = None
         if view is not None:
@@ -247,7 +247,7 @@
                     job = load_head(item)
                     state = (
                         "cancelled"
-                        if job.state.value == "cancelled" or await self._doomed(job.spec)
+                        if job.state.value == "cancelled" or await self._cancelled_by_need(job.spec)
                         else ("running" if job.places else "pending")
                     )
                     return self._found(JobView(job_id, state, job.done, len(job.places)))
@@ -255,14 +255,14 @@
         except (StoreError, wire.WireError):
             return self.unavailable("the state service does not answer")
         if view is None and term is not None:
-            view = term.lookup(job_id)
+            view = term.admission.lookup(job_id)
         if view is not None:
             return self._found(view)
         if term is not None and not self._still(term):
             return self.unavailable("leadership changed")
         return Answer.error(404, "no such job")
 
-    async def _doomed(self, spec: Submission) -> bool:
+    async def _cancelled_by_need(self, spec: Submission) -> bool:
         """Whether a job that the records call active stands below a cancelled one: it is cancelled then.
 
         `StoreError` if that takes more reads than a user waits for.
@@ -328,7 +328,7 @@
         if view is None:
             return Answer.error(404, "no such job")
         if view.state not in FINAL:
-            if term.queue_full:
+            if term.admission.full:
                 return Answer.error(429, "too many requests are waiting", retry_after_s=self.retry_s)
             view = await self._decide(term, Ticket(lambda view: None, None, job_id), deadline, submission=False)
         if view is None or view.state not in FINAL:
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -11,8 +11,8 @@
 from driftcleat import wire
 from driftcleat.api import Answer, Listener, UserApi, serve
 from driftcleat.fleet.cloud import CloudClient
-from driftcleat.fleet.keeper import FleetKeeper
-from driftcleat.leadership import Election, Outlook, Role
+from driftcleat.fleet.manager import FleetManager
+from driftcleat.leadership import Election, PeerSurvey, Role
 from driftcleat.metrics import Metrics
 from driftcleat.model import Batch, Cluster, Job
 from driftcleat.net import SocketBudget
@@ -106,7 +106,7 @@
             self._ask_peers,
             self._ask_leader,
         )
-        self.keeper = FleetKeeper(self)
+        self.fleet_manager = FleetManager(self)
         servers = await self.listen(sockets)
         if platform.memory_mb < LITTLE_MB:
             log.warning("deployment.resources.memory_mb is %g: about %d are needed", platform.memory_mb, LITTLE_MB)
@@ -116,7 +116,7 @@
             self._write_loop,
             self._scan_loop,
             self._direct_loop,
-            *self.keeper.loops(),
+            *self.fleet_manager.loops(),
         ]
         try:
             await asyncio.gather(*(self._contain(loop) for loop in loops))
@@ -188,7 +188,7 @@
         return self.term is not None and self.election.holds
 
     @property
-    def standing(self) -> Term | None:
+    def term_to_enforce(self) -> Term | None:
         """The term whose committed stops are to be carried out: also while this leader is unsure."""
         unsure = self.election.role is Role.UNSURE and self.election.answers_workers
         return self.term if unsure or self.holds else None
@@ -198,7 +198,7 @@
         """The leader's label as far as known."""
         return self.election.leader
 
-    def kick(self) -> None:
+    def wake_writer(self) -> None:
         """There may be something to decide."""
         self.work.set()
 
@@ -230,18 +230,18 @@
             self.platform, self.tuning, cluster, self.layout, self.rng, self.clock, self.wall, brand_new=mark is None
         )
         for item in machines:
-            term.restore_images(item.key[len(MACHINES) :], wire.decode(bytes(item.value), MachineRecord))
-        term.garbage.extend(orphans)
+            term.housekeeping.restore_images(item.key[len(MACHINES) :], wire.decode(bytes(item.value), MachineRecord))
+        term.housekeeping.garbage.extend(orphans)
         for item in rentals:
             name = item.key[len(RENTALS) :]
-            term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
+            term.rentals.restore(OpenRental(name, wire.decode(bytes(item.value), RentalRecord)))
         self.mark_version = mark.version if mark is not None else 0
         self.batch_number = 0
         self.term = term
         self._note_version(self.platform.label, DATA_VERSION)
-        self.keeper.reset(types is not None)
-        log.info("term %d: %d jobs, %d open rentals", token, len(jobs), len(term.open_rentals))
-        self.kick()
+        self.fleet_manager.reset(types is not None)
+        log.info("term %d: %d jobs, %d open rentals", token, len(jobs), len(term.rentals.open))
+        self.wake_writer()
 
     async def _ended_needs(self, jobs: dict[str, Job]) -> dict[str, str]:
         """Return the final states of the jobs that others need and that are over."""
@@ -262,50 +262,50 @@
         term = self.term
         if (
             term is not None
-            and not term.latch_wanted
+            and not term.migration.latch_wanted
             and all(self.peer_versions.get(peer.label, 1) >= DATA_VERSION for peer in self.platform.peers)
         ):
-            term.latch_wanted = True
-            self.kick()
+            term.migration.latch_wanted = True
+            self.wake_writer()
 
     def _resigned(self) -> None:
         self.term = None
         self.users.drop_outstanding()
         self._announce_commit()
 
-    async def _ask_peers(self) -> Outlook:
+    async def _ask_peers(self) -> PeerSurvey:
         """Ask the other controllers how they see the store and who leads."""
-        if self.election.reigns:
+        if self.election.is_leader:
             self.users.drop_outstanding()
         asked_at = self.clock()
         views = await self.peers.views(self.election.ttl_s * 0.4)
         highest = max(views, key=lambda view: view.token, default=None)
-        contact_at, cancelled = _contact(asked_at, [view.standing for view in views])
-        return Outlook(
-            in_reach=any(_served(view) or view.role in LEADS for view in views),
-            contact_at=contact_at,
+        leader_contact_at, cancelled = _contact(asked_at, [view.leader_status for view in views])
+        return PeerSurvey(
+            others_served=any(_served(view) or view.role in LEADS for view in views),
+            leader_contact_at=leader_contact_at,
             cancelled=cancelled,
             token=highest.token if highest else 0,
             leader=highest.leader if highest else None,
-            all_vouch=len(views) == len(self.platform.peers) and all(view.vouches for view in views),
+            all_confirm=len(views) == len(self.platform.peers) and all(view.confirms for view in views),
         )
 
-    async def _ask_leader(self) -> Outlook:
+    async def _ask_leader(self) -> PeerSurvey:
         """Ask the leader how it stands."""
         asked_at, leader = self.clock(), self.leader
         if leader not in self.peers.addresses:
-            return Outlook()
+            return PeerSurvey()
         pongs = await self.peers.ping([leader], self.platform.report_s / 10)
-        contact_at, cancelled = _contact(asked_at, [pong.standing for pong in pongs])
-        return Outlook(contact_at=contact_at, cancelled=cancelled)
+        leader_contact_at, cancelled = _contact(asked_at, [pong.leader_status for pong in pongs])
+        return PeerSurvey(leader_contact_at=leader_contact_at, cancelled=cancelled)
 
-    def _standing(self) -> peer_messages.Standing | None:
+    def _leader_status(self) -> peer_messages.LeaderStatus | None:
         """Tell how we stand, if we lead."""
-        if self.term is None or not self.election.reigns:
+        if self.term is None or not self.election.is_leader:
             return None
-        cancelled = sorted(self.term.cancelled_there())
-        return peer_messages.Standing(
-            self.clock() - self.election.assured_at, cancelled if len(cancelled) <= MOST_NAMED else None
+        cancelled = sorted(self.term.cancellations.still_placed())
+        return peer_messages.LeaderStatus(
+            self.clock() - self.election.certain_at, cancelled if len(cancelled) <= MOST_NAMED else None
         )
 
     # -- writing ------------------------------------------------------------------------------------------
@@ -320,10 +320,10 @@
             term = self.term
             if term is None or not self.holds or not term.has_work:
                 continue
-            if not term.users_wait and (delay := self.store.writes.delay(term.worth_a_batch)) > 0:
+            if not term.admission.waiting and (delay := self.store.writes.delay(term.worth_a_batch)) > 0:
                 # The store's changes a second are used up: gather more, unless a user comes.
                 await asyncio.sleep(min(delay, self.platform.report_s / 60))
-                self.kick()
+                self.wake_writer()
                 continue
             started = self.clock()
             batch = term.build(self.store.writes.available())
@@ -346,7 +346,7 @@
                 revision = await self._commit(term, batch, encoded)
             except Rejected as error:
                 # Refused for its size: limits have fallen, which they do only once every controller is new.
-                term.latch_wanted = True
+                term.migration.latch_wanted = True
                 await self._drop(term, batch, error)
                 continue
             except Deposed:
@@ -357,12 +357,12 @@
             term.commit(batch, revision, encoded.garbage)
             self.metrics.spent("commit", self.clock() - began)
             self._announce_commit()
-            self.kick()
+            self.wake_writer()
 
     def _announce_commit(self) -> None:
         self.committed.set()
         self.committed = asyncio.Event()
-        self.keeper.wake.set()
+        self.fleet_manager.wake.set()
 
     async def _commit(self, term: Term, batch: Batch, encoded: EncodedBatch) -> int:
         """Have the store take a batch; resend or read back until its outcome is known."""
@@ -392,7 +392,7 @@
                 perhaps_taken = perhaps_taken or isinstance(error, Unknown)
             if self.term is not term:
                 raise Deposed
-            if perhaps_taken and self.election.role is Role.UNSURE and term.doubt_cancels(batch):
+            if perhaps_taken and self.election.role is Role.UNSURE and term.cancellations.stop_unconfirmed(batch):
                 self._announce_commit()
             await asyncio.sleep(self.election.ttl_s * 0.06)
 
@@ -424,9 +424,9 @@
 
     # -- workers ------------------------------------------------------------------------------------------
 
-    async def _beat(self, body: bytes) -> Answer:
+    async def _handle_report(self, body: bytes) -> Answer:
         """Answer a worker's report."""
-        tended = self.election.tended_token
+        tended = self.election.isolated_token
         if not self.election.answers_workers and tended is None:
             leader = self.leader if self.leader != self.platform.label else None
             return Answer(421, wire.encode(Redirect(leader)))
@@ -438,7 +438,7 @@
             log.info("malformed report: %s", error)
             return Answer.error(400, str(error))
         if tended is not None:
-            return self._tend(report, tended)
+            return self._extend_lease(report, tended)
         token = self.election.token
         if report.token > token:
             self.election.ask_resign(f"a worker has seen token {report.token}")
@@ -452,10 +452,10 @@
             self.metrics.stale_reports += 1
             log.debug("stale report of %s: session %d, seq %d", report.machine, report.session, report.seq)
             return Answer(200, wire.encode(Orders(token, [])))
-        self.keeper.heard_at = self.clock()
+        self.fleet_manager.heard_at = self.clock()
         if term.cluster.news(machine) or term.has_work:
-            self.kick()
-            if term.cluster.news(machine) and not self.front.door.crowded:
+            self.wake_writer()
+            if term.cluster.news(machine) and not self.front.limiter.crowded:
                 await self._await_news(term, machine.name, report)
         if self.term is not term or not self.election.answers_workers:
             return Answer(421, wire.encode(Redirect(None)))
@@ -466,13 +466,13 @@
         self.metrics.report_ms.record(self.clock() - started)
         return answer
 
-    def _tend(self, report: Report, token: int) -> Answer:
+    def _extend_lease(self, report: Report, token: int) -> Answer:
         """Keep the lease of a worker that is cut off together with us, unless it has heard of a newer leader."""
         if report.token > token:
-            self.election.outrank(report.token)
+            self.election.note_higher_token(report.token)
             return Answer(421, wire.encode(Redirect(None)))
         live = {split[0] for task in report.tasks if task.state != EXITED and (split := split_task(task.task))}
-        if not self.election.may_tend(live):
+        if not self.election.may_extend_lease(live):
             return Answer(421, wire.encode(Redirect(None)))
         return Answer(200, wire.encode(Orders(token, [])))
 
@@ -514,12 +514,14 @@
                     machine.report.session,
                     term.cluster.token,
                     signals,
-                    term.doubtful(machine, self.clock()),
+                    term.reachability.likely_unreachable(machine, self.clock()),
                 )
             )
 
-    async def _send(self, addr: str, session: int, token: int, signals: list[Signal], doubtful: bool) -> None:
-        refusal = await self.workers.send(addr, token, session, signals, doubtful)
+    async def _send(
+        self, addr: str, session: int, token: int, signals: list[Signal], likely_unreachable: bool
+    ) -> None:
+        refusal = await self.workers.send(addr, token, session, signals, likely_unreachable)
         if refusal is not None and refusal.token > self.election.token:
             self.election.ask_resign(f"a worker has seen token {refusal.token}")
 
@@ -532,18 +534,18 @@
                 continue
             for name in list(term.cluster.machines):
                 self._send_stops(term, name)
-            self.kick()
+            self.wake_writer()
 
     async def raise_token(self, addr: str) -> None:
         """Make a worker see our token, so that it leaves a leader before us."""
         token = self.election.token
-        refusal = await self.workers.send(addr, token, 1, [], doubtful=True)
+        refusal = await self.workers.send(addr, token, 1, [], likely_unreachable=True)
         if refusal is None:
             return
         if refusal.token > token:
             self.election.ask_resign(f"a worker has seen token {refusal.token}")
         elif refusal.session != 1:
-            await self.workers.send(addr, token, refusal.session, [], doubtful=True)
+            await self.workers.send(addr, token, refusal.session, [], likely_unreachable=True)
 
     # -- servers ------------------------------------------------------------------------------------------
 
@@ -551,7 +553,7 @@
         if path == REPORTS:
             if method != "POST":
                 return Answer.error(405, "only POST is allowed here")
-            return await self._beat(body)
+            return await self._handle_report(body)
         if path == "/ready":
             if method != "GET":
                 return Answer.error(405, "only GET is allowed here")
@@ -617,7 +619,7 @@
                         self.election.answers_workers,
                         self.leader,
                         self.election.leader_token,
-                        self._standing(),
+                        self._leader_status(),
                         DATA_VERSION,
                     )
                 ),
@@ -641,19 +643,19 @@
             self.election.leader_token,
             now - served if served is not None else -1.0,
             now - refused if refused is not None else -1.0,
-            self.election.vouches,
-            self._standing(),
+            self.election.confirms,
+            self._leader_status(),
             DATA_VERSION,
         )
 
 
-def _contact(asked_at: float, standings: list[peer_messages.Standing | None]) -> tuple[float, frozenset[str]]:
+def _contact(asked_at: float, standings: list[peer_messages.LeaderStatus | None]) -> tuple[float, frozenset[str]]:
     """Return as of when the surest leader that was asked was certain, and the cancelled jobs it named."""
-    known = [standing for standing in standings if standing is not None and standing.cancelled is not None]
+    known = [status for status in standings if status is not None and status.cancelled is not None]
     if not known:
         return float("-inf"), frozenset()
-    surest = min(known, key=lambda standing: standing.assured_age_s)
-    return asked_at - surest.assured_age_s, frozenset(surest.cancelled or ())
+    surest = min(known, key=lambda status: status.certain_age_s)
+    return asked_at - surest.certain_age_s, frozenset(surest.cancelled or ())
 
 
 def _served(view: peer_messages.View) -> bool:
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from driftcleat import wire
-from driftcleat.store.client import Bucket
+from driftcleat.store.client import TokenBucket
 from driftcleat.wire import cloud as messages
 
 log = logging.getLogger(__name__)
@@ -33,7 +33,7 @@
         self.session, self.base, self.timeout_s, self.clock = session, f"http://{address}", timeout_s, clock
         self.malformed = 0
         # The cloud permits bursts worth two seconds.
-        self.requests = Bucket(rps * 0.9, clock, burst_s=2.0)
+        self.requests = TokenBucket(rps * 0.9, clock, burst_s=2.0)
 
     async def _call(self, method: str, path: str, body: bytes | None, kind: type[T]) -> T:
         while (delay := self.requests.delay(1)) > 0:
--- a/driftcleat/fleet/keeper.py
+++ b/driftcleat/fleet/manager.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 
 
-class FleetKeeper:
+class FleetManager:
     """Runs while we lead; remembers nothing that a new leader would need."""
 
     def __init__(self, controller: "Controller") -> None:
@@ -32,7 +32,7 @@
         # Of those, the machines that keep a task of a job whose cancellation is committed.
         self.fencing: set[str] = set()
         self.missing: dict[str, float] = {}
-        self.greeting = False
+        self.announcing = False
         self.wake = asyncio.Event()
 
     def reset(self, types_stored: bool) -> None:
@@ -41,7 +41,7 @@
         self.types_stored = types_stored
         self.heard_at = self.clock()
         self.returning, self.fencing, self.missing = set(), set(), {}
-        self.greeting = False
+        self.announcing = False
 
     def loops(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the loops to run."""
@@ -50,13 +50,13 @@
     def _term(self) -> Term | None:
         return self.controller.term if self.controller.holds else None
 
-    def _standing(self) -> Term | None:
+    def _leader_status(self) -> Term | None:
         """The term whose cancellations are carried out: an unsure leader goes on with what is committed.
 
         Guards against cancelled tasks that an earlier leader's workers keep while the store is down for all: their
         addresses come from the list, they are shown our token, and the cloud fences what does not obey.
         """
-        return self.controller.standing
+        return self.controller.term_to_enforce
 
     async def _types_loop(self) -> None:
         while True:
@@ -81,14 +81,14 @@
                 machine.type = types.get(machine.report.type)
         if not self.types_stored and len(wire.encode(tuple(types.values()))) <= self.platform.value_bytes:
             self.types_stored = True
-            term.notes[TYPES] = tuple(types.values())
-        term.note_room()
-        self.controller.kick()
+            term.housekeeping.notes[TYPES] = tuple(types.values())
+        term.pacing.note_change()
+        self.controller.wake_writer()
 
     async def _list_loop(self) -> None:
         pause = max(2.0 / self.platform.cloud_rps, self.platform.list_lag_s / 2)
         while True:
-            term = self._standing()
+            term = self._leader_status()
             if term is not None and self.clock() - self.listed_at > pause:
                 try:
                     machines = await self.controller.cloud.machines()
@@ -102,7 +102,7 @@
     def _take_list(self, term: Term, machines: list[Listed]) -> None:
         now = self.clock()
         names: set[str] = set()
-        greet: list[Machine] = []
+        unaware: list[Machine] = []
         for entry in machines:
             names.add(entry.name)
             self.missing.pop(entry.name, None)
@@ -116,43 +116,43 @@
             if not machine.addr:
                 machine.addr = entry.addr
             if entry.state == "failed":
-                self._give_back(term, machine, "failed")
+                self._return_machine(term, machine, "failed")
             elif entry.state == "running":
                 if machine.running_since is None:
                     machine.running_since = now
                 if machine.report is None and machine.addr:
-                    greet.append(machine)
-        if greet and not self.greeting:
-            self.controller.spawn(self._greet(term, greet))
-        term.listed = names
-        for machine in term.vanished(now):
-            self._give_back(term, machine, "not listed any more")
+                    unaware.append(machine)
+        if unaware and not self.announcing:
+            self.controller.spawn(self._announce_token(term, unaware))
+        term.reachability.listed = names
+        for machine in term.reachability.no_longer_listed(now):
+            self._return_machine(term, machine, "not listed any more")
         if now - term.cluster.started_at > self.platform.lease_s + self.platform.list_lag_s * 2:
             for name in [name for name in term.cluster.known_images if name not in names]:
-                term.forget_images(name)
+                term.housekeeping.forget_images(name)
         for machine in term.cluster.machines.values():
             if machine.name in names or machine.state is not MachineState.BOOTING:
                 continue
             since = self.missing.setdefault(machine.name, now)
             # The list may be twice its lag late; what is missing for longer was lost before it came up.
             if now - since > self.platform.list_lag_s * 3 + self.platform.report_s:
-                self._give_back(term, machine, "not listed")
+                self._return_machine(term, machine, "not listed")
 
-    async def _greet(self, term: Term, machines: list[Machine]) -> None:
+    async def _announce_token(self, term: Term, machines: list[Machine]) -> None:
         """Raise the token of machines that do not report by themselves: a leader before us may still hold them.
 
         Guards against hundreds of calls while all workers move over anyway, and against machines that could not be
         reached at first and stay with that leader when they can.
         """
-        self.greeting = True
+        self.announcing = True
         try:
-            await asyncio.sleep(max(0.0, term.place_from - self.clock()))
+            await asyncio.sleep(max(0.0, term.pacing.place_from - self.clock()))
             for machine in machines:
-                if self._standing() is term and machine.report is None and machine.state is MachineState.BOOTING:
+                if self._leader_status() is term and machine.report is None and machine.state is MachineState.BOOTING:
                     self.controller.spawn(self.controller.raise_token(machine.addr))
                     await asyncio.sleep(self.platform.report_s / 300)
         finally:
-            self.greeting = False
+            self.announcing = False
 
     async def _size_loop(self) -> None:
         while True:
@@ -162,38 +162,38 @@
             except TimeoutError:
                 pass
             self.wake.clear()
-            term = self._standing()
+            term = self._leader_status()
             if term is None:
                 continue
             now = self.clock()
-            for name in term.fenced():
+            for name in term.cancellations.machines_to_fence():
                 self._fence(term, term.known_machine(name, now))
             if self._term() is None or not term.cluster.types:
                 continue
-            for name in term.unheard(now):
-                self._give_back(term, term.known_machine(name, now), "not heard of")
-            if now < term.place_from:
+            for name in term.reachability.never_reported(now):
+                self._return_machine(term, term.known_machine(name, now), "not heard of")
+            if now < term.pacing.place_from:
                 continue
             plan = term.plan_rentals(now)
             if log.isEnabledFor(logging.DEBUG):
                 log.debug("fleet %s", term.summary())
             for machine in term.surplus(plan, now):
-                self._give_back(term, machine, f"{machine.state.value}, surplus")
-            thin = term.thinned(now) if not plan.rentals else None
+                self._return_machine(term, machine, f"{machine.state.value}, surplus")
+            thin = term.consolidation_candidate(now) if not plan.rentals else None
             self.controller.metrics.spent("sizing", self.clock() - now)
             if thin is not None:
-                term.drain(thin, "its replicas fit elsewhere")
-                self.controller.kick()
+                term.drains.drain(thin, "its replicas fit elsewhere")
+                self.controller.wake_writer()
             # Requests that wait for the cloud's rate would be many small ones: let the need add up instead.
-            waiting = len(term.open_rentals) + len(term.new_rentals)
+            waiting = len(term.rentals.unsettled)
             if plan.rentals and waiting < max(1.0, self.platform.cloud_rps):
                 log.info("renting %s", plan.rentals)
-                term.rent(plan)
-                self.controller.kick()
+                term.rentals.rent(plan)
+                self.controller.wake_writer()
             silent_s = now - self.heard_at
             if (
                 term.cluster.machines
-                and silent_s > self.platform.lease_s * self.tuning.deaf
+                and silent_s > self.platform.lease_s * self.tuning.no_reports
                 and any(machine.report is not None for machine in term.cluster.machines.values())
             ):
                 self.heard_at = now
@@ -202,9 +202,9 @@
     def _fence(self, term: Term, machine: Machine) -> None:
         """Have the cloud end a machine that keeps a cancelled task; no new decision, so also while unsure."""
         self.fencing.add(machine.name)
-        self._give_back(term, machine, "keeps a cancelled task")
+        self._return_machine(term, machine, "keeps a cancelled task")
 
-    def _give_back(self, term: Term, machine: Machine, why: str) -> None:
+    def _return_machine(self, term: Term, machine: Machine, why: str) -> None:
         if machine.state in (MachineState.RETURNING, MachineState.GONE):
             return
         if machine.name not in self.fencing and self._term() is None:
@@ -220,7 +220,7 @@
             term = self._term()
             if term is None:
                 continue
-            for rental in list(term.open_rentals.values()):
+            for rental in list(term.rentals.open.values()):
                 if self._term() is not term:
                     break
                 await self._rent(term, rental)
@@ -232,7 +232,7 @@
             machines = await self.controller.cloud.rent(request)
         except NoCapacity:
             machines = ()
-            term.note_refusal((record.type, record.zone, record.spot), self.clock())
+            term.rentals.note_refusal((record.type, record.zone, record.spot), self.clock())
         except CloudError as error:
             log.debug("rental %s: %s", rental.name, error)
             await asyncio.sleep(self.platform.report_s / 6)
@@ -249,15 +249,15 @@
         )
         if self.controller.term is term:
             if machines and len(machines) < record.count:
-                term.note_refusal((record.type, record.zone, record.spot), self.clock())
-            term.settle_rental(rental, machines, self.clock())
-            self.controller.kick()
+                term.rentals.note_refusal((record.type, record.zone, record.spot), self.clock())
+            term.rentals.settle(rental, machines, self.clock())
+            self.controller.wake_writer()
             self.wake.set()
 
     async def _return_loop(self) -> None:
         while True:
             await asyncio.sleep(self.platform.report_s / 15)
-            term = self._standing()
+            term = self._leader_status()
             if term is None:
                 continue
             names = sorted(self.returning if self._term() is term else self.returning & self.fencing)[:100]
@@ -275,9 +275,9 @@
                 self.returning.discard(name)
                 self.fencing.discard(name)
                 machine = term.cluster.machines.get(name)
-                term.forget_images(name)
+                term.housekeeping.forget_images(name)
                 if machine is not None:
                     term.cluster.forget_machine(machine, self.clock())
                     term.counters.returned += 1
-            term.note_room()
-            self.controller.kick()
+            term.pacing.note_change()
+            self.controller.wake_writer()
--- a/driftcleat/fleet/silence.py
+++ b/driftcleat/fleet/silence.py
@@ -14,8 +14,8 @@
     before they went on, seen on the bench.
     """
 
-    def __init__(self, alone_s: float, together_s: float, many: float) -> None:
-        self.alone_s, self.together_s, self.many = alone_s, max(alone_s, together_s), many
+    def __init__(self, alone_s: float, correlated_s: float, many: float) -> None:
+        self.alone_s, self.correlated_s, self.many = alone_s, max(alone_s, correlated_s), many
         self.zones: dict[str, list[int]] = {}
         self.silent = self.known = 0
         self._lately: set[str | None] = set()
@@ -37,7 +37,7 @@
         seen on the bench: a worker tries one controller after the other.
         """
         for zone in self.zones:
-            if self.dark_now(zone):
+            if self.partitioned_now(zone):
                 until[zone] = now + self.alone_s
         if self._many():
             until[None] = now + self.alone_s
@@ -46,20 +46,20 @@
     def _many(self) -> bool:
         return self.silent > max(FEW, self.known * self.many)
 
-    def dark_now(self, zone: str) -> bool:
+    def partitioned_now(self, zone: str) -> bool:
         """Whether nearly all of a zone is silent while others are heard."""
         silent, known = self.zones.get(zone, (0, 0))
         return known >= FEW and silent >= known * MOST and self.silent < self.known * MOST
 
-    def dark(self, zone: str) -> bool:
+    def partitioned(self, zone: str) -> bool:
         """Whether a zone is dark, or was until a moment ago."""
-        return self.dark_now(zone) or zone in self._lately
+        return self.partitioned_now(zone) or zone in self._lately
 
-    def together(self, zone: str) -> bool:
+    def correlated(self, zone: str) -> bool:
         """Whether a machine that is silent in this zone most likely fell silent with others."""
         silent, known = self.zones.get(zone, (0, 0))
         return (known >= FEW and silent >= known * MOST) or self._many() or not self._lately.isdisjoint((zone, None))
 
-    def borne_s(self, zone: str) -> float:
+    def tolerated_s(self, zone: str) -> float:
         """Return how long silence is borne in a zone."""
-        return self.together_s if self.together(zone) else self.alone_s
+        return self.correlated_s if self.correlated(zone) else self.alone_s
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from driftcleat.placement.rooms import HASTE, Room, allowed, capacity, fits, hasty, share
+from driftcleat.placement.candidates import (
+    FETCH_SPEED_WEIGHT,
+    Candidate,
+    allowed,
+    capacity,
+    latency_sensitive,
+    share,
+)
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import Submission
 
@@ -58,57 +65,57 @@
     used: set[str]
 
 
-class Stock:
-    """Rooms that are alike lie in one group: a fleet of hundreds has a few dozen kinds of room."""
+class CandidatePool:
+    """Candidates that are alike lie in one group: a fleet of hundreds has a few dozen kinds."""
 
-    def __init__(self, rooms: Iterable[Room]) -> None:
-        self.groups: dict[tuple[object, ...], tuple[Room, list[str]]] = {}
-        for room in rooms:
-            self._add(room, [room.name])
+    def __init__(self, candidates: Iterable[Candidate]) -> None:
+        self.groups: dict[tuple[object, ...], tuple[Candidate, list[str]]] = {}
+        for candidate in candidates:
+            self._add(candidate, [candidate.name])
 
-    def _add(self, room: Room, names: list[str]) -> None:
+    def _add(self, candidate: Candidate, names: list[str]) -> None:
         key = (
-            room.type,
-            room.zone,
-            room.spot,
-            room.busy,
-            round(room.cpus, 4),
-            round(room.gpus, 4),
-            round(room.memory_gb, 4),
-            room.name if room.avoided_by else "",
+            candidate.type,
+            candidate.zone,
+            candidate.spot,
+            candidate.busy,
+            round(candidate.cpus, 4),
+            round(candidate.gpus, 4),
+            round(candidate.memory_gb, 4),
+            candidate.name if candidate.failed_jobs else "",
         )
         group = self.groups.get(key)
         if group is None:
-            self.groups[key] = (room, names)
+            self.groups[key] = (candidate, names)
         else:
             group[1].extend(names)
 
     def tasks(self, spec: Submission, zone: str, most: int) -> int:
-        """Return how many tasks of this shape fit into the rooms of a zone, up to `most`."""
+        """Return how many tasks of this shape fit into the candidates of a zone, up to `most`."""
         count = 0
-        for room, names in self.groups.values():
-            if room.zone == zone and allowed(spec, room.type, zone, room.spot):
-                count += len(names) * capacity(spec, room.cpus, room.gpus, room.memory_gb, most)
+        for candidate, names in self.groups.values():
+            if candidate.zone == zone and allowed(spec, candidate.type, zone, candidate.spot):
+                count += len(names) * candidate.capacity(spec, most)
                 if count >= most:
                     return most
         return count
 
     def fill(self, demand: Demand, used: set[str]) -> None:
-        """Put a demand into rooms in use first, where a task costs least, the tightest first: what stays empty
+        """Put a demand into machines in use first, where a task costs least, the tightest first: what stays empty
         can be returned."""
         spec = demand.spec
         fitting = [
-            (not room.busy, room.slow_cost(spec), room.away, room.gpus, room.cpus, key)
-            for key, (room, names) in self.groups.items()
-            if names and fits(spec, room.cpus, room.gpus, room.memory_gb) and _may_use(demand, room)
+            (not candidate.busy, candidate.slow_cost(spec), candidate.away, candidate.gpus, candidate.cpus, key)
+            for key, (candidate, names) in self.groups.items()
+            if names and candidate.fits(spec) and _may_use(demand, candidate)
         ]
         fitting.sort(key=lambda row: row[:5])
         for *_, key in fitting:
             if demand.tasks <= 0:
                 return
-            room, names = self.groups[key]
-            most = min(demand.tasks, _zone_left(demand, room.zone))
-            each = capacity(spec, room.cpus, room.gpus, room.memory_gb, most) if most > 0 else 0
+            candidate, names = self.groups[key]
+            most = min(demand.tasks, _zone_left(demand, candidate.zone))
+            each = candidate.capacity(spec, most) if most > 0 else 0
             if each <= 0:
                 continue
             whole = min(len(names), most // each)
@@ -117,28 +124,28 @@
                 if tasks > 0 and count > 0:
                     taken, names[:count] = names[:count], []
                     used.update(taken)
-                    smaller = replace(room, name=taken[0], fetching=set())
+                    smaller = replace(candidate, name=taken[0], fetching=set())
                     smaller.take(spec, tasks)
                     self._add(smaller, taken)
-            demand.took(room.zone, whole * each + rest)
+            demand.took(candidate.zone, whole * each + rest)
 
 
 def plan_fleet(
     demands: Iterable[Demand],
-    rooms: Iterable[Room],
+    candidates: Iterable[Candidate],
     types: dict[str, MachineType],
     refused: Callable[[Offer], bool],
     most: int,
     away: Callable[[str], int] = lambda zone: 0,
 ) -> Plan:
-    """Pack demands into present and booting rooms first, then into the new machines they fill best."""
+    """Pack demands into present and booting machines first, then into the new machines they fill best."""
     plan = Plan({}, set())
     left: list[Demand] = []
-    stock = Stock(rooms)
+    pool = CandidatePool(candidates)
     for demand in demands:
         if demand.spec.one_zone:
-            demand.only = _one_zone(demand, stock, types, refused, away)
-        stock.fill(demand, plan.used)
+            demand.only = _one_zone(demand, pool, types, refused, away)
+        pool.fill(demand, plan.used)
         if demand.tasks > 0:
             left.append(demand)
     rented = 0
@@ -146,8 +153,8 @@
         offer = _best_offer(left, types, refused, away)
         if offer is None:
             break
-        room = _fresh(types[offer[0]], offer)
-        filled = [(demand, taken) for demand in left if (taken := _fill(demand, room)) > 0]
+        candidate = _fresh(types[offer[0]], offer)
+        filled = [(demand, taken) for demand in left if (taken := _fill(demand, candidate)) > 0]
         count = 1
         # Further machines would be filled the same way for as long as the demands last.
         if not any(demand.spec.spread for demand, _ in filled):
@@ -162,24 +169,25 @@
 
 def _one_zone(
     demand: Demand,
-    stock: Stock,
+    pool: CandidatePool,
     types: dict[str, MachineType],
     refused: Callable[[Offer], bool],
     away: Callable[[str], int],
 ) -> str | None:
     """Return the zone where a one-zone job lacks least, of those where what it lacks can be had.
 
-    Guards against counting rooms of two zones for a job that may use only one: it then waited for ever.
+    Guards against counting machines of two zones for a job that may use only one: it then waited for ever.
     """
     spec = demand.spec
     if demand.zones:
         return next(iter(demand.zones))
     zones = sorted(
-        {zone for kind in types.values() for zone in kind.zones} | {room.zone for room, _ in stock.groups.values()}
+        {zone for kind in types.values() for zone in kind.zones}
+        | {candidate.zone for candidate, _ in pool.groups.values()}
     )
     best: tuple[int, int, str] | None = None
     for zone in zones:
-        lacking = demand.tasks - stock.tasks(spec, zone, demand.tasks)
+        lacking = demand.tasks - pool.tasks(spec, zone, demand.tasks)
         to_be_had = any(
             zone in kind.zones
             and allowed(spec, kind.name, zone, spot)
@@ -193,19 +201,23 @@
     return best[2] if best is not None else None
 
 
-def _fresh(kind: MachineType, offer: Offer) -> Room:
-    return Room(
+def _fresh(kind: MachineType, offer: Offer) -> Candidate:
+    return Candidate(
         "", kind.name, offer[1], offer[2], kind.cpus, kind.gpus, kind.memory_gb, fetch_gb_per_s=kind.fetch_gb_per_s
     )
 
 
-def _free_share(kind: MachineType, room: Room) -> float:
+def _free_share(kind: MachineType, candidate: Candidate) -> float:
     """Return the part of a machine that is still free, by what is scarcest on it."""
     return max(
         0.0,
         min(
             free / whole
-            for free, whole in ((room.cpus, kind.cpus), (room.gpus, kind.gpus), (room.memory_gb, kind.memory_gb))
+            for free, whole in (
+                (candidate.cpus, kind.cpus),
+                (candidate.gpus, kind.gpus),
+                (candidate.memory_gb, kind.memory_gb),
+            )
             if whole > 0
         ),
     )
@@ -226,29 +238,33 @@
                 price = kind.spot_price if spot else kind.price
                 if refused(offer):
                     continue
-                room = _fresh(kind, offer)
+                candidate = _fresh(kind, offer)
                 worth, filled = 0.0, 0
                 for demand in left:
-                    if (room.gpus > 0 or room.cpus > 0) and (taken := _fill(demand, room, dry=True)):
+                    if (candidate.gpus > 0 or candidate.cpus > 0) and (taken := _fill(demand, candidate, dry=True)):
                         filled += taken
-                        haste = (kind.fetch_gb_per_s / fastest) ** HASTE if hasty(demand.spec) else 1.0
+                        haste = (
+                            (kind.fetch_gb_per_s / fastest) ** FETCH_SPEED_WEIGHT
+                            if latency_sensitive(demand.spec)
+                            else 1.0
+                        )
                         worth += demand.cost(types) * taken * haste
                 if worth > 0:
                     # Guards against many small machines with one task each: what none of the others fits into
                     # is worth nothing while others wait.
-                    spare = LEFT_OVER * price * _free_share(kind, room) if filled == wanted else 0.0
+                    spare = LEFT_OVER * price * _free_share(kind, candidate) if filled == wanted else 0.0
                     worth = (worth + spare) / max(price, 1e-9)
                 if worth > best_worth + 1e-9:
                     best, best_worth = offer, worth
     return best
 
 
-def _may_use(demand: Demand, room: Room) -> bool:
+def _may_use(demand: Demand, candidate: Candidate) -> bool:
     spec = demand.spec
     return (
-        allowed(spec, room.type, room.zone, room.spot)
-        and spec.id not in room.avoided_by
-        and (demand.only is None or room.zone == demand.only)
+        candidate.allows(spec)
+        and spec.id not in candidate.failed_jobs
+        and (demand.only is None or candidate.zone == demand.only)
     )
 
 
@@ -259,16 +275,16 @@
     return demand.per_zone - demand.zones.get(zone, 0)
 
 
-def _fill(demand: Demand, room: Room, dry: bool = False) -> int:
-    """Put as many of a demand's tasks into a room as fit; `dry` leaves the demand as it is."""
+def _fill(demand: Demand, candidate: Candidate, dry: bool = False) -> int:
+    """Put as many of a demand's tasks into a candidate as fit; `dry` leaves the demand as it is."""
     spec = demand.spec
-    if not _may_use(demand, room):
+    if not _may_use(demand, candidate):
         return 0
-    most = min(demand.tasks, _zone_left(demand, room.zone))
-    taken = capacity(spec, room.cpus, room.gpus, room.memory_gb, most) if most > 0 else 0
+    most = min(demand.tasks, _zone_left(demand, candidate.zone))
+    taken = candidate.capacity(spec, most) if most > 0 else 0
     if taken <= 0:
         return 0
-    room.take(spec, taken)
+    candidate.take(spec, taken)
     if not dry:
-        demand.took(room.zone, taken)
+        demand.took(candidate.zone, taken)
     return taken
--- a/driftcleat/leadership/__init__.py
+++ b/driftcleat/leadership/__init__.py
@@ -1,6 +1,6 @@
 """Leadership: one leader by a key attached to a lease; the revision of the winning put is the token."""
 
-from .election import Election, LeaderKey, Outlook, Role
+from .election import Election, LeaderKey, PeerSurvey, Role
 from .lease import LeaseClock
 
-__all__ = ["Election", "LeaderKey", "LeaseClock", "Outlook", "Role"]
+__all__ = ["Election", "LeaderKey", "LeaseClock", "PeerSurvey", "Role"]
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -26,7 +26,7 @@
     FOLLOWER = "follower"
     # A follower cut off from the store and from every controller: it keeps workers' leases with the last leader's
     # token and gives no commands.
-    TENDING = "tending"
+    ISOLATED = "tending"
     CAMPAIGNING = "campaigning"
     REBUILDING = "rebuilding"
     LEADING = "leading"
@@ -35,8 +35,8 @@
 
 _MOVES = {
     (Role.FOLLOWER, Role.CAMPAIGNING),
-    (Role.FOLLOWER, Role.TENDING),
-    (Role.TENDING, Role.FOLLOWER),
+    (Role.FOLLOWER, Role.ISOLATED),
+    (Role.ISOLATED, Role.FOLLOWER),
     (Role.CAMPAIGNING, Role.FOLLOWER),
     (Role.CAMPAIGNING, Role.REBUILDING),
     (Role.REBUILDING, Role.LEADING),
@@ -49,20 +49,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Outlook:
+class PeerSurvey:
     """What the other controllers say when asked.
 
     Whether one of them is served by the store or leads; as of when a leader among them was sure of it, and which
     cancelled jobs' tasks it had not seen gone; the highest token that any of them knows and whose it is; whether
-    every one of them vouches for what it knows.
+    every one of them confirms for what it knows.
     """
 
-    in_reach: bool = False
-    contact_at: float = float("-inf")
+    others_served: bool = False
+    leader_contact_at: float = float("-inf")
     cancelled: frozenset[str] = frozenset()
     token: int = 0
     leader: str | None = None
-    all_vouch: bool = False
+    all_confirm: bool = False
 
 
 class LeaderKey(msgspec.Struct, array_like=True):
@@ -84,8 +84,8 @@
         clock: Callable[[], float],
         rebuild: Callable[[int], Awaitable[None]],
         resign: Callable[[], None],
-        ask_peers: Callable[[], Awaitable[Outlook]],
-        ask_leader: Callable[[], Awaitable[Outlook]],
+        ask_peers: Callable[[], Awaitable[PeerSurvey]],
+        ask_leader: Callable[[], Awaitable[PeerSurvey]],
     ) -> None:
         self.platform, self.tuning, self.store, self.rng, self.clock = platform, tuning, store, rng, clock
         self.rebuild, self.on_resign, self.ask_peers, self.ask_leader = rebuild, resign, ask_peers, ask_leader
@@ -100,18 +100,18 @@
         self._resign_wanted: str | None = None
         self._revision = 0
         # While unsure: when last every other controller vouched that nobody leads after us.
-        self._vouched_at = float("-inf")
+        self._confirmed_at = float("-inf")
         # Whether a leader key was read in this life: before, an earlier life of ours may have led unknown to us.
-        self.vouches = False
+        self.confirms = False
         # As of when a leader last told us how it stands, and the cancelled jobs that it had yet to see gone; whether
         # a worker since showed a token above ours. Before the first contact nothing is kept: a leader may have
         # confirmed what we never heard of.
-        self._contact_at = float("-inf")
+        self._leader_contact_at = float("-inf")
         self.cancelled: frozenset[str] = frozenset()
-        self.outranked = False
+        self.superseded = False
         # Leases kept by who cannot hear of cancellations must end within the time that a cancellation has.
-        self.hold_s = max(
-            0.0, min(platform.lease_s * tuning.hold, platform.cancel_s - platform.lease_s - platform.report_s)
+        self.max_uncertain_s = max(
+            0.0, min(platform.lease_s * tuning.uncertain, platform.cancel_s - platform.lease_s - platform.report_s)
         )
         self._wake = asyncio.Event()
 
@@ -130,7 +130,7 @@
         return self.role is Role.LEADING and self.lease.valid(self.clock())
 
     @property
-    def reigns(self) -> bool:
+    def is_leader(self) -> bool:
         """Whether this is a leader, sure of it or not."""
         return self.role in (Role.REBUILDING, Role.LEADING, Role.UNSURE)
 
@@ -141,7 +141,7 @@
         Guards against a process that was held up, or a rebuilding that hangs: however it stands with the loops, no
         lease is kept for longer than a cancellation confirmed by a leader after us allows.
         """
-        return self.reigns and self.clock() - self.assured_at <= self.hold_s
+        return self.is_leader and self.clock() - self.certain_at <= self.max_uncertain_s
 
     @property
     def may_start(self) -> bool:
@@ -151,32 +151,32 @@
         cancellation.
         """
         now = self.clock()
-        return self.reigns and (self.lease.valid(now) or now - self._vouched_at <= self.ttl_s * 0.4)
+        return self.is_leader and (self.lease.valid(now) or now - self._confirmed_at <= self.ttl_s * 0.4)
 
     @property
-    def assured_at(self) -> float:
+    def certain_at(self) -> float:
         """Return the last moment at which it was certain that no controller had confirmed what we cannot know.
 
         Of a leader: that nobody led after it. Otherwise: that a leader was, when it told us. What is kept beyond it
-        is bounded by `hold_s`, and counted from it by whoever keeps it next, so that the bounds of two controllers in
-        turn do not add up.
+        is bounded by `max_uncertain_s`, and counted from it by whoever keeps it next, so that the bounds of two
+        controllers in turn do not add up.
         """
-        if self.reigns:
-            return max(self.lease.certain_until(self.clock()), self._vouched_at)
-        return self._contact_at
+        if self.is_leader:
+            return max(self.lease.certain_until(self.clock()), self._confirmed_at)
+        return self._leader_contact_at
 
     @property
-    def tended_token(self) -> int | None:
+    def isolated_token(self) -> int | None:
         """The token with which a follower that is cut off keeps workers' leases; None if it must not.
 
         Guards against all work of a zone ending with its leases although a controller in it could be asked, seen on
         the bench: half of a service's replicas came back a minute after the cut had ended.
         """
-        if self.role is not Role.TENDING or self.clock() - self._contact_at > self.hold_s:
+        if self.role is not Role.ISOLATED or self.clock() - self._leader_contact_at > self.max_uncertain_s:
             return None
         return self.leader_token
 
-    def may_tend(self, jobs: set[str]) -> bool:
+    def may_extend_lease(self, jobs: set[str]) -> bool:
         """Whether the lease of a worker with tasks of these jobs may be kept.
 
         Guards against a machine that did not hear the stop of a cancelled task in time, and would have its lease kept
@@ -184,16 +184,16 @@
         """
         return jobs.isdisjoint(self.cancelled)
 
-    def outrank(self, token: int) -> None:
+    def note_higher_token(self, token: int) -> None:
         """A worker has seen this token, so somebody else leads: its leases are not ours to keep."""
         if token > self.leader_token:
-            self.outranked = True
-            if self.role is Role.TENDING:
+            self.superseded = True
+            if self.role is Role.ISOLATED:
                 self.change(Role.FOLLOWER)
 
     def ask_resign(self, why: str) -> None:
         """Step down as soon as possible."""
-        if self.reigns:
+        if self.is_leader:
             self._resign_wanted = why
             self._wake.set()
 
@@ -202,7 +202,7 @@
         await self._end_old_life()
         while True:
             try:
-                if self.role in (Role.FOLLOWER, Role.TENDING):
+                if self.role in (Role.FOLLOWER, Role.ISOLATED):
                     await self._follow()
                 elif self.role in (Role.LEADING, Role.UNSURE):
                     await self._keep()
@@ -217,8 +217,8 @@
                     self._step_down(str(error))
                     if lease is not None:
                         await self._drop_lease(lease)
-                elif self.role in (Role.FOLLOWER, Role.TENDING):
-                    await self._consider_tending()
+                elif self.role in (Role.FOLLOWER, Role.ISOLATED):
+                    await self._consider_isolation()
                 await asyncio.sleep(self.ttl_s * self.rng.uniform(0.05, 0.12))
             except Exception:
                 log.exception("election: unexpected")
@@ -247,19 +247,19 @@
         label = self._key(item).label
         if label != self.leader:
             log.info("leader is %s (token %d)", label, item.version)
-        self.leader, self.leader_token, self.vouches = label, item.version, True
+        self.leader, self.leader_token, self.confirms = label, item.version, True
 
     def learn(self, label: str | None, token: int) -> None:
         """A peer says who leads; the store's word, and a higher token, go before it."""
         if (
-            self.role in (Role.FOLLOWER, Role.TENDING)
+            self.role in (Role.FOLLOWER, Role.ISOLATED)
             and label not in (None, self.platform.label)
             and (token > self.leader_token)
         ):
             log.info("leader is %s (token %d), a peer says", label, token)
             self.leader, self.leader_token = label, token
 
-    async def _consider_tending(self) -> None:
+    async def _consider_isolation(self) -> None:
         """The store does not serve us: if no controller answers either, keep the leases of workers that ask.
 
         The contact with a leader that is itself unsure counts from when it was last assured. Guards against two
@@ -267,29 +267,33 @@
         """
         outlook = await self.ask_peers()
         self.learn(outlook.leader, outlook.token)
-        self._in_contact(outlook)
-        if outlook.in_reach:
-            if self.role is Role.TENDING:
+        self._note_contact(outlook)
+        if outlook.others_served:
+            if self.role is Role.ISOLATED:
                 self.change(Role.FOLLOWER)
         elif (
             self.role is Role.FOLLOWER
             and self.leader_token
-            and not self.outranked
-            and (self.clock() - self._contact_at < self.hold_s)
+            and not self.superseded
+            and (self.clock() - self._leader_contact_at < self.max_uncertain_s)
         ):
-            self.change(Role.TENDING)
-        elif self.role is Role.TENDING and self.tended_token is None:
+            self.change(Role.ISOLATED)
+        elif self.role is Role.ISOLATED and self.isolated_token is None:
             self.change(Role.FOLLOWER)
 
-    def _in_contact(self, outlook: Outlook) -> None:
+    def _note_contact(self, outlook: PeerSurvey) -> None:
         """A leader has told how it stands."""
-        if outlook.contact_at > self._contact_at:
-            self._contact_at, self.cancelled, self.outranked = outlook.contact_at, outlook.cancelled, False
+        if outlook.leader_contact_at > self._leader_contact_at:
+            self._leader_contact_at, self.cancelled, self.superseded = (
+                outlook.leader_contact_at,
+                outlook.cancelled,
+                False,
+            )
 
     async def _follow(self) -> None:
         # A read that hangs must not outlast the workers' leases.
         page = await self.store.page(LEADER, None, 1, self.ttl_s)
-        if self.role is Role.TENDING:
+        if self.role is Role.ISOLATED:
             self.change(Role.FOLLOWER)
         self._revision = page.revision
         if page.items:
@@ -300,7 +304,7 @@
                 log.info("ending the lease of an earlier life")
                 await self.store.end(item.lease)
                 return
-            self._in_contact(await self.ask_leader())
+            self._note_contact(await self.ask_leader())
             answer = await self.store.watch(LEADER, self._revision, self.ttl_s)
             if answer is None or not answer.events:
                 return
@@ -336,9 +340,9 @@
                 return
             token = item.version
         self.token = self.leader_token = token
-        self.leader, self.vouches = self.platform.label, True
+        self.leader, self.confirms = self.platform.label, True
         self._resign_wanted = None
-        self._vouched_at = float("-inf")
+        self._confirmed_at = float("-inf")
         self.change(Role.REBUILDING)
         keeper = asyncio.ensure_future(self._renew_while_rebuilding())
         try:
@@ -395,21 +399,21 @@
             if self.role is Role.LEADING and self.lease.left(self.clock()) < self.ttl_s * 0.4:
                 self.change(Role.UNSURE)
         if self.role is Role.UNSURE:
-            await self._doubt()
+            await self._keep_leases_while_unsure()
         try:
             self._wake.clear()
             await asyncio.wait_for(self._wake.wait(), pause)
         except TimeoutError:
             pass
 
-    async def _doubt(self) -> None:
+    async def _keep_leases_while_unsure(self) -> None:
         """The store does not serve us: go on until another leads.
 
-        While every controller vouches that nobody leads after us, the workers' leases are kept for as long as that
+        While every controller confirms that nobody leads after us, the workers' leases are kept for as long as that
         lasts. Guards against an outage of a minute that cost all running work, seen on the bench: the leader gave
         up after two worker leases. But a peer may have led after us before it was refused too, and have confirmed
         cancellations: who knows a higher token ends our term at once, and who is silent, or was started since and
-        has not read the store, vouches for nothing. That the store serves a peer is no reason yet: it cannot lead
+        has not read the store, confirms for nothing. That the store serves a peer is no reason yet: it cannot lead
         before our lease has ended, and if an outage comes first, nobody would keep the leases.
         """
         asked_at = self.clock()
@@ -419,8 +423,8 @@
             self._step_down(f"a controller knows token {outlook.token}")
             self.learn(outlook.leader, outlook.token)
             return
-        if outlook.all_vouch:
-            self._vouched_at = asked_at
+        if outlook.all_confirm:
+            self._confirmed_at = asked_at
         if not self.answers_workers:
             # If the store serves somebody, a new leader has shown our workers its token by now, unless all of us
             # here are cut off from it.
@@ -429,12 +433,12 @@
     def _step_down(self, why: str) -> None:
         if self.role is not Role.FOLLOWER:
             log.info("stepping down: %s", why)
-            leading = self.reigns
+            leading = self.is_leader
             # What was kept so far counts, should we find ourselves in contact with nobody.
-            self._contact_at = self.assured_at
+            self._leader_contact_at = self.certain_at
             self.change(Role.FOLLOWER)
             # What we held as a leader we do not go on to tend: the bound is used up, or another leads.
-            self.outranked = True
+            self.superseded = True
             self.lease.lost()
             if self.leader == self.platform.label:
                 self.leader = None
--- a/driftcleat/metrics.py
+++ b/driftcleat/metrics.py
@@ -59,10 +59,10 @@
             "bad_peer_messages": self.bad_peer_messages,
             "bad_store_answers": controller.store.malformed,
             "bad_cloud_answers": controller.cloud.malformed,
-            "connections": len(controller.front.door.open),
-            "connections_most": controller.front.door.most,
-            "connections_closed": controller.front.door.last_answers,
-            "connections_refused": controller.front.door.turned_away,
+            "connections": len(controller.front.limiter.open),
+            "connections_most": controller.front.limiter.most,
+            "connections_closed": controller.front.limiter.last_answers,
+            "connections_refused": controller.front.limiter.turned_away,
         }
         if term is not None:
             machines: dict[str, int] = {}
@@ -77,13 +77,13 @@
             counters = term.counters
             out |= {
                 "data_version": 2 if term.layout.switched else 1,
-                "records_to_move": len(term.unmoved),
+                "records_to_move": len(term.migration.unmoved),
                 "jobs_waiting_for_others": len(term.cluster.needs.unmet),
                 "machines": machines,
                 "classes": classes,
-                "waiting_submissions": len(term.submissions),
-                "waiting_cancellations": len(term.cancels),
-                "open_rentals": len(term.open_rentals),
+                "waiting_submissions": term.admission.waiting_submissions,
+                "waiting_cancellations": term.admission.waiting_cancellations,
+                "open_rentals": len(term.rentals.open),
                 "batches": counters.batches,
                 "rounds": counters.rounds,
                 "rounds_cut": counters.rounds_cut,
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -64,7 +64,7 @@
         self.usage: dict[str, Usage] = {}
         self.dirty: set[str] = set()
         # Attempts on machines that no record knows: the task must not start elsewhere while one is there.
-        self.ghosts: dict[tuple[str, int], str] = {}
+        self.untracked: dict[tuple[str, int], str] = {}
         self.retry_at: dict[str, float] = {}
         self.failures: dict[str, int] = {}
         # Tasks of machines that have not reported in this term, by machine name.
@@ -88,7 +88,7 @@
         # Attempts that the batch under way takes off their machines.
         self.leaving: set[AttemptKey] = set()
         # Jobs whose cancellation may have been committed: nobody can say before the store answers again.
-        self.doubted_cancels: set[str] = set()
+        self.unconfirmed_cancellations: set[str] = set()
         self.started_at = now
 
     # -- who waits for whom -------------------------------------------------------------------------------
@@ -99,8 +99,8 @@
         if job.state is not JobState.ACTIVE:
             return
         unmet = [need for need in needs if ended.get(need) != JobState.DONE.value]
-        doomed = any(ended.get(need) == JobState.CANCELLED.value for need in needs)
-        self._relevel(self.needs.add(job.id, needs, unmet, job.spec.rank.level, doomed))
+        cancel_pending = any(ended.get(need) == JobState.CANCELLED.value for need in needs)
+        self._relevel(self.needs.add(job.id, needs, unmet, job.spec.rank.level, cancel_pending))
 
     def _relevel(self, changed: set[str]) -> None:
         for job_id in changed:
@@ -144,7 +144,7 @@
                 # A report held back by a cut: its task list is as old as itself.
                 return None
         machine = self.adopt(report.machine, report.type, report.zone, report.spot, report.addr, now)
-        self._note_heeding(machine, report, now)
+        self._note_acknowledgement(machine, report, now)
         if machine.state is MachineState.BOOTING:
             change_machine(machine, MachineState.UP)
             machine.idle_since = now
@@ -159,7 +159,7 @@
             self.on_notice(machine, report.notice_s)
         return machine
 
-    def _note_heeding(self, machine: Machine, report: Report, now: float) -> None:
+    def _note_acknowledgement(self, machine: Machine, report: Report, now: float) -> None:
         """Count reports that do not show what the answers to earlier ones said.
 
         Guards against a machine whose reports arrive while our answers do not reach it: it looks alive, its tasks
@@ -172,23 +172,23 @@
             and report.session > machine.report.session
             and now - machine.heard_at < self.lease_s
         )
-        deaf = report.token < self.token or lapsed
-        if not deaf and machine.offered:
+        unresponsive = report.token < self.token or lapsed
+        if not unresponsive and machine.offered:
             listed = {
                 (split[0], split[1], task.attempt)
                 for task in report.tasks
                 if (split := wire_workers.split_task(task.task)) is not None
             }
-            deaf = any(
+            unresponsive = any(
                 order < (report.session, report.seq) and attempt not in listed and attempt not in machine.seen
                 for attempt, order in machine.offered.items()
             )
-        if not deaf:
-            machine.unheeded = 0
+        if not unresponsive:
+            machine.unacknowledged = 0
             return
-        if not machine.unheeded:
-            machine.unheeded_since = now
-        machine.unheeded += 2 if lapsed else 1
+        if not machine.unacknowledged:
+            machine.unacknowledged_since = now
+        machine.unacknowledged += 2 if lapsed else 1
 
     def _read_tasks(self, machine: Machine, report: Report, previous: Report | None) -> None:
         reported: dict[AttemptKey, str] = {}
@@ -210,7 +210,7 @@
                 live.add(split)
                 place = machine.tasks.get(split)
                 if place is None or place.attempt != task.attempt:
-                    self.ghosts[split] = machine.name
+                    self.untracked[split] = machine.name
                 elif machine.phases.get(split) != task.state:
                     machine.phases[split] = task.state
                     log.debug("task %s on %s: %s", task.task, machine.name, task.state)
@@ -219,8 +219,8 @@
                         machine.fetched.add(image)
                         self.on_image(machine)
         machine.reported = reported
-        for key in [key for key, name in self.ghosts.items() if name == machine.name and key not in live]:
-            del self.ghosts[key]
+        for key in [key for key, name in self.untracked.items() if name == machine.name and key not in live]:
+            del self.untracked[key]
         self.dirty.add(machine.name)
 
     def _open_question(self, machine: Machine) -> bool:
@@ -240,8 +240,8 @@
             change_machine(machine, MachineState.RETURNING)
         change_machine(machine, MachineState.GONE)
         self.gone[machine.name] = now
-        for key in [key for key, name in self.ghosts.items() if name == machine.name]:
-            del self.ghosts[key]
+        for key in [key for key, name in self.untracked.items() if name == machine.name]:
+            del self.untracked[key]
         if machine.tasks:
             self.dirty.add(machine.name)
         else:
@@ -306,8 +306,8 @@
         draining = machine.state is not MachineState.UP
         # A gang cannot take a lost task back under the same attempt once it has started.
         lost = job.is_gang and attempt in machine.seen
-        deaf = machine.unheeded > 1
-        if not (unwanted or draining or lost or deaf):
+        unresponsive = machine.unacknowledged > 1
+        if not (unwanted or draining or lost or unresponsive):
             return True
         if not batch.room_at(job, key[1]):
             return batch.frozen(job)
@@ -468,7 +468,7 @@
                 continue
             if attempt in machine.reported or (job.is_gang and attempt in machine.seen):
                 continue
-            if machine.unheeded > 1:
+            if machine.unacknowledged > 1:
                 continue
             machine.offered[attempt] = (report.session, report.seq)
             signals.append(Signal(wire_workers.START, wire_workers.task_name(*key), place.attempt))
@@ -488,7 +488,7 @@
 
     def _cancelled(self, job: Job) -> bool:
         """Whether a job's tasks are to run no more."""
-        return job.state is not JobState.ACTIVE or job.id in self.doubted_cancels
+        return job.state is not JobState.ACTIVE or job.id in self.unconfirmed_cancellations
 
     # -- what users are told ------------------------------------------------------------------------------
 
@@ -497,7 +497,7 @@
         if job.state is not JobState.ACTIVE:
             state = JobState.DONE if job.state is JobState.DONE else JobState.CANCELLED
             return JobView(job.id, state.value, job.done, 0)
-        if job.id in self.needs.doomed:
+        if job.id in self.needs.cancel_pending:
             return JobView(job.id, JobState.CANCELLED.value, 0, 0)
         running = 0
         for index, place in job.places.items():
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -62,8 +62,8 @@
         "tasks",
         "trusted",
         "type",
-        "unheeded",
-        "unheeded_since",
+        "unacknowledged",
+        "unacknowledged_since",
         "zone",
     )
 
@@ -93,8 +93,8 @@
         self.full_until = 0.0
         # The newest report that was answered, and how often since then a later one did not show what it was told.
         self.answered: tuple[int, int] | None = None
-        self.unheeded = 0
-        self.unheeded_since = now
+        self.unacknowledged = 0
+        self.unacknowledged_since = now
 
     def add(self, key: TaskKey, place: Place, spec: Submission) -> None:
         """Count a committed task."""
--- a/driftcleat/model/needs.py
+++ b/driftcleat/model/needs.py
@@ -1,7 +1,8 @@
 """Which jobs wait for which others: the graph of a term, kept up to date with each commit. Pure, and never recursive.
 
-A job is ready once all jobs that it needs are committed as done. A job below one that is cancelled is doomed: it is
-called cancelled from that moment, its own record follows in a batch of its own. It has never started.
+A job is ready once all jobs that it needs are committed as done. The cancellation of a job is passed on to all that
+need it: they are called cancelled from that moment, their own records follow in batches of their own. None of their
+tasks has ever started.
 """
 
 from collections.abc import Iterable
@@ -19,7 +20,7 @@
         self.unmet: dict[str, set[str]] = {}
         self.dependents: dict[str, set[str]] = {}
         # Jobs below a cancelled one whose own cancellation is not committed yet, in the order in which it was seen.
-        self.doomed: dict[str, None] = {}
+        self.cancel_pending: dict[str, None] = {}
         # The rank's level that a job has by itself, and the most urgent of it and of all that need it.
         self.own: dict[str, int] = {}
         self.levels: dict[str, int] = {}
@@ -33,7 +34,7 @@
         return self.levels.get(job_id, LEAST)
 
     def add(
-        self, job_id: str, needs: Iterable[str], unmet: Iterable[str], level: int, doomed: bool = False
+        self, job_id: str, needs: Iterable[str], unmet: Iterable[str], level: int, cancel_pending: bool = False
     ) -> set[str]:
         """Take in a job; return those whose level changed."""
         self.own[job_id] = level
@@ -43,8 +44,8 @@
             self.unmet[job_id] = open_needs
         for need in self.needs[job_id]:
             self.dependents.setdefault(need, set()).add(job_id)
-        if doomed or any(need in self.doomed for need in open_needs):
-            self._doom([job_id])
+        if cancel_pending or any(need in self.cancel_pending for need in open_needs):
+            self._cascade([job_id])
         return self._relevel([job_id])
 
     def done(self, job_id: str) -> list[str]:
@@ -60,21 +61,21 @@
         return ready
 
     def cancelled(self, job_id: str) -> None:
-        """A job is cancelled: all below it are doomed."""
-        self.doomed.pop(job_id, None)
-        self._doom(sorted(self.dependents.get(job_id, ())))
+        """A job is cancelled: all below it are cancel_pending."""
+        self.cancel_pending.pop(job_id, None)
+        self._cascade(sorted(self.dependents.get(job_id, ())))
 
-    def _doom(self, stack: list[str]) -> None:
+    def _cascade(self, stack: list[str]) -> None:
         while stack:
             job_id = stack.pop()
-            if job_id in self.own and job_id not in self.doomed:
-                self.doomed[job_id] = None
+            if job_id in self.own and job_id not in self.cancel_pending:
+                self.cancel_pending[job_id] = None
                 stack.extend(sorted(self.dependents.get(job_id, ())))
 
     def remove(self, job_id: str) -> set[str]:
         """A job is over and asks for nothing any more; return those whose level changed."""
         needs = self.needs.pop(job_id, frozenset())
-        for known in (self.own, self.levels, self.unmet, self.doomed):
+        for known in (self.own, self.levels, self.unmet, self.cancel_pending):
             known.pop(job_id, None)
         for need in needs:
             others = self.dependents.get(need)
--- a/driftcleat/net/__init__.py
+++ b/driftcleat/net/__init__.py
@@ -1,6 +1,6 @@
 """Sockets: how many each use may open, and which of those that came in are kept."""
 
 from .budget import Allowance, SocketBudget
-from .door import Door
+from .limiter import ConnectionLimiter
 
-__all__ = ["Allowance", "Door", "SocketBudget"]
+__all__ = ["Allowance", "ConnectionLimiter", "SocketBudget"]
--- a/driftcleat/net/door.py
+++ b/driftcleat/net/limiter.py
@@ -8,7 +8,7 @@
 C = TypeVar("C")
 
 
-class Guest(Enum):
+class ClientKind(Enum):
     """Who is behind a connection, as far as its requests have told."""
 
     UNKNOWN = auto()
@@ -21,7 +21,7 @@
 WORKERS = 3 / 4
 
 
-class Door(Generic[C]):
+class ConnectionLimiter(Generic[C]):
     """Counts connections; says which answer must be a connection's last, and which idle one makes room.
 
     Up to the bound nothing is closed that could stay. An answer is always given in full, also the last one.
@@ -30,9 +30,9 @@
     def __init__(self, most: int, close: Callable[[C], None]) -> None:
         self.most, self.close = most, close
         self.kept = max(1, int(most * KEPT))
-        self.open: dict[C, Guest] = {}
+        self.open: dict[C, ClientKind] = {}
         self.idle: OrderedDict[C, None] = OrderedDict()
-        self.counts = dict.fromkeys(Guest, 0)
+        self.counts = dict.fromkeys(ClientKind, 0)
         self.turned_away = self.last_answers = 0
 
     @property
@@ -49,8 +49,8 @@
                 return False
             self.gone(victim)
             self.close(victim)
-        self.open[guest] = Guest.UNKNOWN
-        self.counts[Guest.UNKNOWN] += 1
+        self.open[guest] = ClientKind.UNKNOWN
+        self.counts[ClientKind.UNKNOWN] += 1
         self.idle[guest] = None
         return True
 
@@ -61,14 +61,14 @@
                 return guest
         return next(iter(self.idle), None)
 
-    def _beyond(self, kind: Guest) -> bool:
+    def _beyond(self, kind: ClientKind) -> bool:
         """Whether workers (or users) have more connections than their share."""
-        if kind is Guest.UNKNOWN:
+        if kind is ClientKind.UNKNOWN:
             return False
-        share = WORKERS if kind is Guest.WORKER else 1 - WORKERS
+        share = WORKERS if kind is ClientKind.WORKER else 1 - WORKERS
         return self.counts[kind] > self.kept * share
 
-    def began(self, guest: C, kind: Guest) -> None:
+    def began(self, guest: C, kind: ClientKind) -> None:
         """A request has come in."""
         before = self.open.get(guest)
         if before is None:
--- a/driftcleat/placement/__init__.py
+++ b/driftcleat/placement/__init__.py
@@ -1,6 +1,6 @@
-"""Placement: a pure function from jobs, rooms and limits to places. It changes nothing itself."""
+"""Placement: a pure function from jobs, candidate machines and limits to places. It changes nothing itself."""
 
-from .engine import PlacementRound, Preemption
-from .rooms import Room, allowed, fits
+from .candidates import Candidate, allowed, fits
+from .engine import PlacementRound, PreemptionPlan
 
-__all__ = ["PlacementRound", "Preemption", "Room", "allowed", "fits"]
+__all__ = ["PlacementRound", "PreemptionPlan", "Candidate", "allowed", "fits"]
--- a/driftcleat/placement/rooms.py
+++ b/driftcleat/placement/candidates.py
@@ -1,4 +1,4 @@
-"""Rooms: what is free on a machine, and whether a task may and can go there."""
+"""Candidates: what is free on a machine, and whether a task may and can go there."""
 
 from collections.abc import Container
 from dataclasses import dataclass, field
@@ -8,11 +8,11 @@
 # Sums of decimal amounts differ in their last digits; no real request is this small.
 SLACK = 1e-6
 # How much a faster fetch counts against a lower price, for replicas that are waited for.
-HASTE = 2
+FETCH_SPEED_WEIGHT = 2
 
 
 @dataclass(slots=True)
-class Room:
+class Candidate:
     """Free amounts of one machine."""
 
     name: str
@@ -25,15 +25,27 @@
     images: Container[str] = field(default_factory=frozenset)
     # Images that are being fetched, or will be for what this round places here: fetches share the rate.
     fetching: set[str] = field(default_factory=set)
-    avoided_by: Container[str] = field(default_factory=frozenset)
+    failed_jobs: Container[str] = field(default_factory=frozenset)
     busy: bool = False
     price: float = 0.0
     whole: tuple[float, float, float] = (0.0, 0.0, 0.0)
     fetch_gb_per_s: float = 1.0
     # How many controllers are in other zones: a zone that is cut off keeps its work if the leader is inside.
     away: int = 0
-    # The only job that may use what is free here, while its other tasks' rooms come free.
-    held_for: str | None = None
+    # The only job that may use what is free here, while capacity for its other tasks comes free.
+    reserved_for: str | None = None
+
+    def fits(self, spec: Submission) -> bool:
+        """Tell whether a task fits into what is free."""
+        return fits(spec, self.cpus, self.gpus, self.memory_gb)
+
+    def allows(self, spec: Submission) -> bool:
+        """Tell whether a job allows this machine's type, zone and kind."""
+        return allowed(spec, self.type, self.zone, self.spot)
+
+    def capacity(self, spec: Submission, most: int) -> int:
+        """Return how many tasks fit into what is free, up to `most`."""
+        return capacity(spec, self.cpus, self.gpus, self.memory_gb, most)
 
     def share_cost(self, spec: Submission) -> float:
         """Return the part of the machine's price that a task takes, by what it takes most of."""
@@ -44,7 +56,7 @@
 
         Guards against replicas that waited half as long again for their image to save a fifth of the price.
         """
-        return self.share_cost(spec) / (self.fetch_gb_per_s**HASTE if hasty(spec) else 1.0)
+        return self.share_cost(spec) / (self.fetch_gb_per_s**FETCH_SPEED_WEIGHT if latency_sensitive(spec) else 1.0)
 
     def take(self, spec: Submission, tasks: int = 1) -> None:
         """Use up what tasks need."""
@@ -68,7 +80,7 @@
         self.memory_gb += spec.memory_gb * tasks
 
 
-def hasty(spec: Submission) -> bool:
+def latency_sensitive(spec: Submission) -> bool:
     """Tell whether a job's users wait for it at once: a service of the highest rank."""
     return spec.kind is Kind.SERVICE and spec.rank is Rank.CRITICAL
 
--- a/driftcleat/placement/engine.py
+++ b/driftcleat/placement/engine.py
@@ -7,7 +7,7 @@
 from driftcleat.model.jobs import Job
 from driftcleat.wire.users import Submission
 
-from .rooms import Room, allowed, capacity, fits, spread_limit
+from .candidates import Candidate, fits, spread_limit
 from .victims import Victim
 
 MANY = 1_000_000
@@ -33,48 +33,48 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Preemption:
+class PreemptionPlan:
     """Stop these tasks (maybe none), so that a task finds room on a machine."""
 
-    room: Room
+    candidate: Candidate
     victims: tuple[Victim, ...]
     cost: float
 
 
 class PlacementRound:
-    """Places tasks into rooms until the time budget is used up."""
+    """Places tasks on candidates until the time budget is used up."""
 
     def __init__(
         self,
-        rooms: Iterable[Room],
+        candidates: Iterable[Candidate],
         sample: int,
         rng: random.Random,
         blocked: Callable[[str, int], bool] = lambda job, index: False,
     ) -> None:
-        self.rooms = [room for room in rooms]
-        rng.shuffle(self.rooms)
+        self.candidates = [candidate for candidate in candidates]
+        rng.shuffle(self.candidates)
         self.sample, self.rng, self.blocked = max(1, sample), rng, blocked
-        self.hopeless: set[Shape] = set()
-        self.most_fetches = MANY
+        self.unplaceable: set[Shape] = set()
+        self.max_fetch_rank = MANY
 
-    def place(self, job: Job, limits: Limits, most: int, most_fetches: int = MANY) -> list[tuple[int, Room]]:
-        """Return places for queued tasks of a job; the rooms and limits are used up by them.
+    def place(self, job: Job, limits: Limits, most: int, max_fetch_rank: int = MANY) -> list[tuple[int, Candidate]]:
+        """Return places for queued tasks of a job; candidates and limits are used up by them.
 
-        `most_fetches` is the highest `Room.fetch_rank` that will do: 0 wants the image to be there, 1 wants
+        `max_fetch_rank` is the highest `Candidate.fetch_rank` that will do: 0 wants the image to be there, 1 wants
         no other fetch to share with.
         """
-        self.most_fetches = most_fetches
+        self.max_fetch_rank = max_fetch_rank
         if job.is_gang:
             return self._place_gang(job, limits)
         return self._place_some(job, limits, min(most, job.queued))
 
-    def _place_some(self, job: Job, limits: Limits, most: int) -> list[tuple[int, Room]]:
+    def _place_some(self, job: Job, limits: Limits, most: int) -> list[tuple[int, Candidate]]:
         spec = job.spec
         counts = job.zone_counts()
         per_zone = spread_limit(spec)
         zone = next(iter(counts), None) if spec.one_zone else None
-        placed: list[tuple[int, Room]] = []
-        room: Room | None = None
+        placed: list[tuple[int, Candidate]] = []
+        candidate: Candidate | None = None
         index = -1
         while len(placed) < most and limits.fits(spec, 1):
             index = job.next_queued(index)
@@ -82,24 +82,24 @@
                 break
             if self.blocked(job.id, index):
                 continue
-            if room is None or not self._usable(spec, room) or counts.get(room.zone, 0) >= per_zone:
-                # The room found last is filled up first: it was the best, and is better now that it fetches.
-                room = self.find(spec, zone, lambda room: counts.get(room.zone, 0) < per_zone)
-            if room is None:
+            if candidate is None or not self._usable(spec, candidate) or counts.get(candidate.zone, 0) >= per_zone:
+                # The candidate found last is filled up first: it was the best, and is better now that it fetches.
+                candidate = self.find(spec, zone, lambda candidate: counts.get(candidate.zone, 0) < per_zone)
+            if candidate is None:
                 break
-            room.take(spec)
+            candidate.take(spec)
             limits.take(spec, 1)
-            counts[room.zone] = counts.get(room.zone, 0) + 1
+            counts[candidate.zone] = counts.get(candidate.zone, 0) + 1
             if spec.one_zone:
-                zone = room.zone
-            placed.append((index, room))
+                zone = candidate.zone
+            placed.append((index, candidate))
         return placed
 
     @staticmethod
-    def _usable(spec: Submission, room: Room) -> bool:
-        return fits(spec, room.cpus, room.gpus, room.memory_gb)
+    def _usable(spec: Submission, candidate: Candidate) -> bool:
+        return candidate.fits(spec)
 
-    def _place_gang(self, job: Job, limits: Limits) -> list[tuple[int, Room]]:
+    def _place_gang(self, job: Job, limits: Limits) -> list[tuple[int, Candidate]]:
         """All queued tasks at once or none; only when no task of an older attempt is left anywhere."""
         spec = job.spec
         need = job.queued
@@ -115,17 +115,11 @@
         zones: list[str | None] = [None]
         if spec.one_zone:
             free: dict[str, int] = {}
-            for room in self.rooms:
-                if (
-                    fits(spec, room.cpus, room.gpus, room.memory_gb)
-                    and room.held_for in (None, spec.id)
-                    and allowed(spec, room.type, room.zone, room.spot)
-                ):
-                    free[room.zone] = free.get(room.zone, 0) + capacity(
-                        spec, room.cpus, room.gpus, room.memory_gb, need
-                    )
+            for candidate in self.candidates:
+                if candidate.fits(spec) and candidate.reserved_for in (None, spec.id) and candidate.allows(spec):
+                    free[candidate.zone] = free.get(candidate.zone, 0) + candidate.capacity(spec, need)
             free = {name: count for name, count in free.items() if count >= need}
-            away = {room.zone: room.away for room in self.rooms}
+            away = {candidate.zone: candidate.away for candidate in self.candidates}
             zones = [*sorted(free, key=lambda name: (away[name], -free[name], name))]
         for zone in zones:
             chosen = self._gang_in(spec, zone, need)
@@ -134,29 +128,25 @@
                 return list(zip(indices, chosen, strict=True))
         return []
 
-    def _gang_in(self, spec: Submission, zone: str | None, need: int) -> list[Room] | None:
-        chosen: list[Room] = []
+    def _gang_in(self, spec: Submission, zone: str | None, need: int) -> list[Candidate] | None:
+        chosen: list[Candidate] = []
         counts: dict[str, int] = {}
         per_zone = spread_limit(spec)
         while len(chosen) < need:
-            room = self.find(spec, zone, lambda room: counts.get(room.zone, 0) < per_zone)
-            if room is None:
+            candidate = self.find(spec, zone, lambda candidate: counts.get(candidate.zone, 0) < per_zone)
+            if candidate is None:
                 for used in chosen:
                     used.give(spec)
                 return None
             # Fill the machine before looking further: consecutive tasks make short records.
-            while (
-                len(chosen) < need
-                and fits(spec, room.cpus, room.gpus, room.memory_gb)
-                and counts.get(room.zone, 0) < per_zone
-            ):
-                room.take(spec)
-                counts[room.zone] = counts.get(room.zone, 0) + 1
-                chosen.append(room)
+            while len(chosen) < need and candidate.fits(spec) and counts.get(candidate.zone, 0) < per_zone:
+                candidate.take(spec)
+                counts[candidate.zone] = counts.get(candidate.zone, 0) + 1
+                chosen.append(candidate)
         return chosen
 
-    def find(self, spec: Submission, zone: str | None, also: Callable[[Room], bool]) -> Room | None:
-        """Return the best fit among the first sample of rooms in which any fits."""
+    def find(self, spec: Submission, zone: str | None, also: Callable[[Candidate], bool]) -> Candidate | None:
+        """Return the best fit among the first sample of candidates of which any fits."""
         shape = (
             spec.cpus,
             spec.gpus,
@@ -167,60 +157,60 @@
             spec.spread,
             spec.one_zone,
         )
-        if shape in self.hopeless:
+        if shape in self.unplaceable:
             return None
-        start = self.rng.randrange(len(self.rooms)) if self.rooms else 0
-        best: Room | None = None
+        start = self.rng.randrange(len(self.candidates)) if self.candidates else 0
+        best: Candidate | None = None
         best_score: tuple[float, ...] = ()
         seen = 0
         refused = False
-        for offset in range(len(self.rooms)):
-            room = self.rooms[(start + offset) % len(self.rooms)]
-            if not fits(spec, room.cpus, room.gpus, room.memory_gb):
+        for offset in range(len(self.candidates)):
+            candidate = self.candidates[(start + offset) % len(self.candidates)]
+            if not candidate.fits(spec):
                 continue
-            if not allowed(spec, room.type, room.zone, room.spot) or (zone is not None and room.zone != zone):
+            if not candidate.allows(spec) or (zone is not None and candidate.zone != zone):
                 continue
             if (
-                spec.id in room.avoided_by
-                or room.held_for not in (None, spec.id)
-                or not also(room)
-                or (room.fetch_rank(spec.image) > self.most_fetches)
+                spec.id in candidate.failed_jobs
+                or candidate.reserved_for not in (None, spec.id)
+                or not also(candidate)
+                or (candidate.fetch_rank(spec.image) > self.max_fetch_rank)
             ):
                 refused = True
                 continue
-            score = self._score(spec, room)
+            score = self._score(spec, candidate)
             if best is None or score < best_score:
-                best, best_score = room, score
+                best, best_score = candidate, score
             seen += 1
             if seen >= self.sample:
                 break
         if best is None and not refused:
-            self.hopeless.add(shape)
+            self.unplaceable.add(shape)
         return best
 
-    def _score(self, spec: Submission, room: Room) -> tuple[float, ...]:
+    def _score(self, spec: Submission, candidate: Candidate) -> tuple[float, ...]:
         """Lower is better: image there already, what the place is worth, zone, machine in use, what is left over."""
-        rank = room.fetch_rank(spec.image)
-        cost = room.slow_cost(spec) if rank else room.share_cost(spec)
+        rank = candidate.fetch_rank(spec.image)
+        cost = candidate.slow_cost(spec) if rank else candidate.share_cost(spec)
         return (
             float(rank),
             cost,
-            float(room.away),
-            0.0 if room.busy else 1.0,
-            room.gpus - spec.gpus,
-            room.cpus - spec.cpus,
+            float(candidate.away),
+            0.0 if candidate.busy else 1.0,
+            candidate.gpus - spec.gpus,
+            candidate.cpus - spec.cpus,
         )
 
 
-def plan_preemption(spec: Submission, room: Room, victims: list[Victim]) -> Preemption | None:
+def plan_preemption(spec: Submission, candidate: Candidate, victims: list[Victim]) -> PreemptionPlan | None:
     """Return the cheapest set of these tasks whose stop makes room for one task; empty if there is room already."""
     if (
-        spec.id in room.avoided_by
-        or room.held_for not in (None, spec.id)
-        or not allowed(spec, room.type, room.zone, room.spot)
+        spec.id in candidate.failed_jobs
+        or candidate.reserved_for not in (None, spec.id)
+        or not candidate.allows(spec)
     ):
         return None
-    cpus, gpus, memory_gb = room.cpus, room.gpus, room.memory_gb
+    cpus, gpus, memory_gb = candidate.cpus, candidate.gpus, candidate.memory_gb
     chosen: list[Victim] = []
     cost = 0.0
     for victim in sorted(victims, key=lambda victim: victim.cost):
@@ -230,4 +220,4 @@
         cpus, gpus, memory_gb = cpus + other.cpus, gpus + other.gpus, memory_gb + other.memory_gb
         chosen.append(victim)
         cost += victim.cost
-    return Preemption(room, tuple(chosen), cost) if fits(spec, cpus, gpus, memory_gb) else None
+    return PreemptionPlan(candidate, tuple(chosen), cost) if fits(spec, cpus, gpus, memory_gb) else None
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -2,14 +2,18 @@
 
 import configparser
 import math
-from dataclasses import dataclass, field, fields
+from dataclasses import Field, dataclass, field, fields
 from typing import Any
 
 from .platform import SettingsError
 
 
-def _ratio(section: str, default: float, low: float, high: float, help_text: str) -> Any:
-    return field(default=default, metadata={"section": section, "low": low, "high": high, "help": help_text})
+def _ratio(section: str, default: float, low: float, high: float, help_text: str, alias: str | None = None) -> Any:
+    """Declare a setting; `alias` is the name it had in the version before, which is still accepted."""
+    return field(
+        default=default,
+        metadata={"section": section, "low": low, "high": high, "help": help_text, "alias": alias},
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,10 +23,17 @@
     ttl: float = _ratio("leadership", 0.12, 0.05, 0.9, "leader lease, of the worker lease")
     renew: float = _ratio("leadership", 0.3, 0.1, 0.5, "pause between renewals, of the leader lease")
     drift: float = _ratio("leadership", 0.002, 0.0005, 0.1, "part of a lease given up for clock drift")
-    hold: float = _ratio(
-        "leadership", 2.0, 0.0, 20.0, "longest unsure time while a controller is silent, of the worker lease"
+    uncertain: float = _ratio(
+        "leadership",
+        2.0,
+        0.0,
+        20.0,
+        "longest time that an unsure leader goes on while a controller is silent, of the worker lease",
+        alias="hold",
+    )
+    no_reports: float = _ratio(
+        "leadership", 0.45, 0.1, 2.0, "time with no report at all, of the worker lease", alias="deaf"
     )
-    deaf: float = _ratio("leadership", 0.45, 0.1, 2.0, "time with no report at all, of the worker lease")
     ready: float = _ratio(
         "leadership",
         0.25,
@@ -51,19 +62,21 @@
         "placement", 0.15, 0.0, 0.5, "longest a report with news waits for its batch, of the report interval"
     )
     lost: float = _ratio("fleet", 1.35, 0.5, 10.0, "silence until a machine is given up, of the worker lease")
-    cut: float = _ratio(
+    partitioned: float = _ratio(
         "fleet",
         4.5,
         0.5,
         20.0,
         "silence until machines are given up that fell silent with many others, of the worker lease",
+        alias="cut",
     )
-    many: float = _ratio(
+    correlated: float = _ratio(
         "fleet",
         0.05,
         0.0,
         1.0,
         "part of the machines that fall silent together by a network's fault rather than each by its own",
+        alias="many",
     )
     fence: float = _ratio(
         "fleet",
@@ -80,8 +93,13 @@
         "fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a machine boots"
     )
     slack: float = _ratio("fleet", 0.3, 0.0, 2.0, "room rented beyond what waiting services of the highest rank need")
-    thin: float = _ratio(
-        "fleet", 5.0, 0.0, 1000.0, "time without an exit until a machine's last replicas are moved, of its boot time"
+    consolidate: float = _ratio(
+        "fleet",
+        5.0,
+        0.0,
+        1000.0,
+        "time without an exit until a machine's last replicas are moved, of its boot time",
+        alias="thin",
     )
     window: float = _ratio("fleet", 40.0, 5.0, 1000.0, "time over which arrivals are counted, of the report interval")
     reserve: float = _ratio("api", 0.15, 0.0, 0.9, "changes kept free for users, of the changes a second")
@@ -98,6 +116,21 @@
     """Return the checked settings of an INI file (none: the defaults); `SettingsError` with one line."""
     if path is None:
         return Tuning()
+    parser = _read_ini(path)
+    known = _known_settings()
+    values: dict[str, float] = {}
+    for section in parser.sections():
+        for key, text in parser.items(section):
+            entry = known.get((section, key))
+            if entry is None:
+                raise SettingsError(f"{path}: {section}.{key}: unknown key")
+            if entry.name in values:
+                raise SettingsError(f"{path}: {section}.{key}: is set twice, also under its other name")
+            values[entry.name] = _checked_value(f"{path}: {section}.{key}", text, entry)
+    return Tuning(**values)
+
+
+def _read_ini(path: str) -> configparser.ConfigParser:
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(path, encoding="utf-8") as file:
@@ -106,21 +139,27 @@
         raise SettingsError(f"{path}: cannot be read: {error.strerror or error}") from None
     except (configparser.Error, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: is not INI: {' '.join(str(error).split())}") from None
-    known = {(entry.metadata["section"], entry.name): entry for entry in fields(Tuning)}
-    values: dict[str, float] = {}
     if parser.defaults():
         raise SettingsError(f"{path}: DEFAULT: unknown section")
-    for section in parser.sections():
-        for key, text in parser.items(section):
-            entry = known.get((section, key))
-            if entry is None:
-                raise SettingsError(f"{path}: {section}.{key}: unknown key")
-            try:
-                value = float(text)
-            except ValueError:
-                raise SettingsError(f"{path}: {section}.{key}: must be a number") from None
-            low, high = entry.metadata["low"], entry.metadata["high"]
-            if not math.isfinite(value) or not low <= value <= high:
-                raise SettingsError(f"{path}: {section}.{key}: must be {low:g} to {high:g}")
-            values[key] = value
-    return Tuning(**values)
+    return parser
+
+
+def _known_settings() -> dict[tuple[str, str], Field[float]]:
+    """Return the settings by section and name, each also under its name of the version before."""
+    known: dict[tuple[str, str], Field[float]] = {}
+    for entry in fields(Tuning):
+        for name in (entry.name, entry.metadata["alias"]):
+            if name is not None:
+                known[(entry.metadata["section"], name)] = entry
+    return known
+
+
+def _checked_value(where: str, text: str, entry: Field[float]) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise SettingsError(f"{where}: must be a number") from None
+    low, high = entry.metadata["low"], entry.metadata["high"]
+    if not math.isfinite(value) or not low <= value <= high:
+        raise SettingsError(f"{where}: must be {low:g} to {high:g}")
+    return value
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -48,7 +48,7 @@
     """The lease has ended."""
 
 
-class Bucket:
+class TokenBucket:
     """Permits `rate` units a second with bursts worth `burst_s`."""
 
     def __init__(self, rate: float, clock: Callable[[], float], burst_s: float = 1.0) -> None:
@@ -101,8 +101,8 @@
     ) -> None:
         self.session, self.lease_session = session, lease_session
         self.base, self.limits, self.clock = f"http://{address}", limits, clock
-        self.requests = Bucket(limits.rps * 0.9, clock)
-        self.writes = Bucket(limits.write_rps * 0.9, clock)
+        self.requests = TokenBucket(limits.rps * 0.9, clock)
+        self.writes = TokenBucket(limits.write_rps * 0.9, clock)
         self.served_at: float | None = None
         self.refused_at: float | None = None
         self.malformed = 0
@@ -249,7 +249,7 @@
 
 
 __all__ = [
-    "Bucket",
+    "TokenBucket",
     "Conflict",
     "Malformed",
     "NoLease",
--- /dev/null
+++ b/driftcleat/term/pacing.py
@@ -0,0 +1,47 @@
+"""When the next placement round is due."""
+
+from driftcleat.settings import Platform, Tuning
+
+
+class RoundPacing:
+    """A round is due once something changed that it could use, and after the pause that the last round has earned."""
+
+    def __init__(self, platform: Platform, tuning: Tuning, place_from: float) -> None:
+        self.platform, self.tuning = platform, tuning
+        # Before this moment workers have not reported yet, and nothing is placed.
+        self.place_from = place_from
+        self.wanted = True
+        self._again_at = 0.0
+        self._not_before = 0.0
+
+    @property
+    def budget_s(self) -> float:
+        """Return the seconds that one round may take."""
+        return self.platform.report_s * self.tuning.budget
+
+    def note_change(self) -> None:
+        """Something came or went: a round may find more than the last one did."""
+        self.wanted = True
+        self._again_at = 0.0
+
+    def want_another(self) -> None:
+        """The round under way leaves something to the next one."""
+        self.wanted = True
+
+    def want_at(self, moment: float) -> None:
+        """The next round is worth its while from a moment on, should nothing change before."""
+        self.wanted = True
+        self._again_at = moment
+
+    def due(self, now: float) -> bool:
+        """Tell whether a round is to be played now."""
+        return self.wanted and now >= max(self.place_from, self._again_at, self._not_before)
+
+    def begin(self) -> None:
+        """A round begins and looks at all that has changed."""
+        self.wanted = False
+
+    def end(self, began_at: float, now: float) -> None:
+        """A round has ended: one that cost much is followed by a pause in which reports and users are served."""
+        spent = min(now - began_at, 2 * self.budget_s)
+        self._not_before = began_at + spent / (self.platform.core_share * self.tuning.share)
--- /dev/null
+++ b/driftcleat/term/queue.py
@@ -0,0 +1,83 @@
+"""The queue: jobs with tasks that wait for a place, in the order in which they get it."""
+
+from dataclasses import dataclass
+
+from driftcleat.model import Cluster, Job, JobState
+from driftcleat.placement.engine import Limits
+from driftcleat.placement.victims import turn
+from driftcleat.settings import Platform
+from driftcleat.wire.users import Submission
+
+from .context import INFINITE
+
+# Sums of decimal amounts differ in their last digits.
+ROUNDING = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class QueueOrder:
+    """The jobs with queued tasks in their order, and the ids of all jobs within their team's guarantee."""
+
+    jobs: list[Job]
+    guaranteed: set[str]
+
+
+class JobQueue:
+    """Orders jobs by guarantee, rank and age; kept until the next commit."""
+
+    def __init__(self, platform: Platform, cluster: Cluster) -> None:
+        self.platform, self.cluster = platform, cluster
+        self._order: QueueOrder | None = None
+
+    def invalidate(self) -> None:
+        """A batch was committed: the order is worked out anew when it is next asked for."""
+        self._order = None
+
+    def order(self) -> QueueOrder:
+        """Return the queue; what is returned is shared and not to be changed."""
+        if self._order is None:
+            self._order = self._work_out()
+        return self._order
+
+    def _work_out(self) -> QueueOrder:
+        guaranteed: set[str] = set()
+        sums: dict[str, list[float]] = {}
+        queued: list[Job] = []
+        for job in sorted(self.cluster.jobs.values(), key=lambda job: (job.submitted, job.id)):
+            if job.state is not JobState.ACTIVE or not self.cluster.ready(job):
+                # What waits for others takes no place, and no part of a limit or a guarantee.
+                continue
+            team = self.platform.teams.get(job.spec.team)
+            total = sums.setdefault(job.spec.team, [0.0, 0.0])
+            left = job.spec.tasks - job.done
+            total[0] += job.spec.cpus * left
+            total[1] += job.spec.gpus * left
+            if team is not None and _within(team.cpus, team.gpus, total, job.spec):
+                guaranteed.add(job.id)
+            if job.queued > 0:
+                queued.append(job)
+        queued.sort(key=lambda job: turn(job, guaranteed))
+        return QueueOrder(queued, guaranteed)
+
+    def limits(self, team_name: str) -> Limits:
+        """Return what a team may still take."""
+        team = self.platform.teams.get(team_name)
+        if team is None:
+            return Limits(0.0, 0.0)
+        usage = self.cluster.usage.get(team_name)
+        cpus, gpus = (usage.cpus, usage.gpus) if usage is not None else (0.0, 0.0)
+        return Limits(
+            team.cpus_max - cpus if team.cpus_max > 0 else INFINITE,
+            team.gpus_max - gpus if team.gpus_max > 0 else INFINITE,
+        )
+
+
+def _within(cpus: float, gpus: float, total: list[float], spec: Submission) -> bool:
+    """Tell whether a sum lies within a guarantee; what a team is not guaranteed does not count against it."""
+    if cpus <= 0 and gpus <= 0:
+        return False
+    return (
+        (cpus <= 0 or total[0] <= cpus + ROUNDING)
+        and (gpus <= 0 or total[1] <= gpus + ROUNDING)
+        and (gpus <= 0 or spec.gpus > 0 or cpus > 0)
+    )
--- /dev/null
+++ b/driftcleat/term/round_state.py
@@ -0,0 +1,26 @@
+"""What one placement round has found out so far."""
+
+from collections.abc import Callable
+
+from driftcleat.model import Machine
+from driftcleat.placement.candidates import Candidate
+from driftcleat.placement.engine import Limits, PlacementRound
+from driftcleat.placement.victims import Victims
+
+
+class RoundState:
+    """The candidates as this round leaves them, what teams may still take, and who could be stopped."""
+
+    def __init__(self, work: PlacementRound, guaranteed: set[str], now: float) -> None:
+        self.work, self.guaranteed, self.now = work, guaranteed, now
+        self.limits: dict[str, Limits] = {}
+        # Worked out when it is first needed.
+        self.victims: Victims | None = None
+        self._candidates = {candidate.name: candidate for candidate in work.candidates}
+
+    def candidate(self, make: Callable[[Machine, float], Candidate], machine: Machine) -> Candidate:
+        """Return a machine as this round leaves it."""
+        candidate = self._candidates.get(machine.name)
+        if candidate is None:
+            candidate = self._candidates[machine.name] = make(machine, self.now)
+        return candidate
--- a/driftcleat/wire/peers.py
+++ b/driftcleat/wire/peers.py
@@ -14,18 +14,18 @@
     data_version: int = 1
 
 
-class Standing(msgspec.Struct, frozen=True, array_like=True):
+class LeaderStatus(msgspec.Struct, frozen=True, array_like=True):
     """What a leader tells of its term: how long ago it was certain that nobody led after it, and the cancelled jobs
     of which tasks may still be on machines (None if they are too many to name)."""
 
-    assured_age_s: float
+    certain_age_s: float
     cancelled: list[str] | None
 
 
 class View(msgspec.Struct, frozen=True, array_like=True, tag="view"):
     """How a controller sees the world; ages in seconds, negative when it never happened.
 
-    `vouches` says that the speaker has read a leader key since it was started: only then does it know that it has
+    `confirms` says that the speaker has read a leader key since it was started: only then does it know that it has
     led under no higher token than `token`, in an earlier life either.
     """
 
@@ -35,8 +35,8 @@
     token: int
     served_age_s: float
     refused_age_s: float
-    vouches: bool = False
-    standing: Standing | None = None
+    confirms: bool = False
+    leader_status: LeaderStatus | None = None
     data_version: int = 1
 
 
@@ -54,7 +54,7 @@
     leads: bool
     leader: str | None
     token: int
-    standing: Standing | None = None
+    leader_status: LeaderStatus | None = None
     data_version: int = 1
 
 
--- a/driftcleat/workers/commands.py
+++ b/driftcleat/workers/commands.py
@@ -23,26 +23,29 @@
 
     def __init__(self, session: aiohttp.ClientSession, timeout_s: float, at_once: int) -> None:
         self.session, self.timeout_s = session, timeout_s
-        self.prompt, self.doubtful = asyncio.Semaphore(max(1, at_once // 2)), asyncio.Semaphore(max(1, at_once // 2))
+        self.prompt, self.likely_unreachable = (
+            asyncio.Semaphore(max(1, at_once // 2)),
+            asyncio.Semaphore(max(1, at_once // 2)),
+        )
         self.asking: set[str] = set()
 
     async def send(
-        self, addr: str, token: int, session_number: int, signals: list[Signal], doubtful: bool = False
+        self, addr: str, token: int, session_number: int, signals: list[Signal], likely_unreachable: bool = False
     ) -> Report | None:
         """Send commands; return the report of a worker that refused them, None if it took them or is silent.
 
-        What goes to a `doubtful` machine is left out while an earlier call to it is still open.
+        What goes to a `likely_unreachable` machine is left out while an earlier call to it is still open.
         """
-        if doubtful and addr in self.asking:
+        if likely_unreachable and addr in self.asking:
             return None
         body = wire.encode(DirectOrders(token, session_number, signals))
-        if doubtful:
+        if likely_unreachable:
             self.asking.add(addr)
         try:
-            async with self.doubtful if doubtful else self.prompt:
-                return await self._post(addr, body, self.timeout_s / 3 if doubtful else self.timeout_s)
+            async with self.likely_unreachable if likely_unreachable else self.prompt:
+                return await self._post(addr, body, self.timeout_s / 3 if likely_unreachable else self.timeout_s)
         finally:
-            if doubtful:
+            if likely_unreachable:
                 self.asking.discard(addr)
 
     async def _post(self, addr: str, body: bytes, timeout_s: float) -> Report | None:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -17,9 +17,9 @@
 from driftcleat.controller import Controller
 from driftcleat.fleet.cloud import CloudClient
 from driftcleat.leadership import Role
-from driftcleat.net import Door, SocketBudget
+from driftcleat.net import ConnectionLimiter, SocketBudget
 from driftcleat.peers import PeerClient
-from driftcleat.placement.rooms import allowed, fits
+from driftcleat.placement.candidates import allowed, fits
 from driftcleat.settings import Tuning
 from driftcleat.settings.platform import Platform, parse_platform
 from driftcleat.store.client import StoreClient
@@ -134,7 +134,7 @@
         return []
 
     async def listen(self, sockets: SocketBudget) -> list[Any]:
-        self.front = SimpleNamespace(door=Door(1000, lambda guest: None))  # type: ignore[assignment]
+        self.front = SimpleNamespace(limiter=ConnectionLimiter(1000, lambda guest: None))  # type: ignore[assignment]
         return []
 
 
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -5,10 +5,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from driftcleat.fleet.sizing import Demand, Stock, plan_fleet
+from driftcleat.fleet.sizing import CandidatePool, Demand, plan_fleet
 from driftcleat.model import Cluster, Job, MachineState
+from driftcleat.placement.candidates import Candidate, allowed, capacity, fits, spread_limit
 from driftcleat.placement.engine import Limits, PlacementRound
-from driftcleat.placement.rooms import Room, allowed, capacity, fits, spread_limit
 from driftcleat.settings import Tuning
 from driftcleat.store.records import Layout, RentalRecord
 from driftcleat.term import Term, Ticket
@@ -43,10 +43,10 @@
     term = make_term(now)
     first = Report("vm-2", "h:2", "big", "north", False, 1, 1, 0, ())
     machine = term.cluster.observe(first, now[0])
-    assert machine is not None and not term.takes_tasks(machine, now[0])
+    assert machine is not None and not term.candidates.takes_tasks(machine, now[0])
     term.cluster.orders(machine, first)
     heard = Report("vm-2", "h:2", "big", "north", False, 1, 2, 5, ())
-    assert term.cluster.observe(heard, now[0]) is machine and term.takes_tasks(machine, now[0])
+    assert term.cluster.observe(heard, now[0]) is machine and term.candidates.takes_tasks(machine, now[0])
 
 
 def test_a_cancelled_task_on_a_deaf_machine_is_gone_in_time() -> None:
@@ -68,10 +68,10 @@
         newest = report(seq)
         term.cluster.observe(newest, now[0])
         term.cluster.orders(machine, newest)
-    assert machine.unheeded == 1
+    assert machine.unacknowledged == 1
     attempt = term.cluster.jobs["req-000001"].places[0].attempt
     term.cluster.observe(report(4, TaskReport("req-000001/0", attempt, "running")), now[0])
-    assert machine.unheeded == 0 and term.takes_tasks(machine, now[0])
+    assert machine.unacknowledged == 0 and term.candidates.takes_tasks(machine, now[0])
 
 
 def test_many_deaf_at_once_are_not_returned() -> None:
@@ -84,7 +84,7 @@
     empty = plan_fleet([], [], TYPES, lambda offer: False, 1)
     empty.used.update(term.cluster.machines)
     for count, machine in enumerate(term.cluster.machines.values(), 1):
-        machine.unheeded, machine.unheeded_since = 9, 0.0
+        machine.unacknowledged, machine.unacknowledged_since = 9, 0.0
         if count == 2:
             assert len(term.surplus(empty, now[0])) == 2
     assert term.surplus(empty, now[0]) == []
@@ -110,9 +110,9 @@
     copy = Report("vm-1", "h:1", "big", "north", False, 1, 7, 5, (), 3.0)
     machine = cluster.observe(copy, now[0])
     assert machine is not None
-    assert not term.takes_tasks(machine, now[0]) and term.rooms(now[0]) == []
+    assert not term.candidates.takes_tasks(machine, now[0]) and term.candidates.all(now[0]) == []
     assert machine.state is MachineState.UP, "an old notice drains nothing"
-    term.submissions.append(Ticket(lambda view: None, job(1), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1), "req-000001"))
     commit(term)
     commit(term)
     assert not term.cluster.jobs["req-000001"].places
@@ -232,7 +232,7 @@
     for _ in range(6):
         world.boot(RentalRecord("big", "north", False, 1, 0.0))
     # The cloud has no more: what comes free is all there is.
-    world.leader.term.rent = lambda plan: None  # type: ignore[method-assign]
+    world.leader.term.rentals.rent = lambda plan: None  # type: ignore[method-assign]
     for number in range(1, 7):
         world.submit(
             job(
@@ -256,17 +256,17 @@
     for number in (2, 3):
         term.cluster.observe(Report(f"vm-{number}", "h", "big", "north", False, 1, 1, 5, ()), now[0])
     low = job(1, hands=3, cores=16.0, rank="best_effort", voyageS=500.0)
-    term.submissions.append(Ticket(lambda view: None, low, low.id))
+    term.admission.submit(Ticket(lambda view: None, low, low.id))
     commit(term)
     commit(term)
     assert len(term.cluster.jobs[low.id].places) == 3
     gang = job(2, hands=2, rig="group", rank="high", cores=16.0, together=True, crew="blue")
-    term.submissions.append(Ticket(lambda view: None, gang, gang.id))
+    term.admission.submit(Ticket(lambda view: None, gang, gang.id))
     commit(term)
     commit(term)
     stopped = {place.machine for place in term.cluster.jobs[low.id].places.values() if place.stop is not None}
-    assert len(stopped) == 2 and set(term.held) == stopped
-    assert {held[0] for held in term.held.values()} == {gang.id}
+    assert len(stopped) == 2 and set(term.preemption.reservations.machines_of(gang.id)) == stopped
+    assert len(term.preemption.reservations) == len(stopped)
 
 
 def test_a_free_machine_is_kept_beside_one_that_comes_free() -> None:
@@ -275,16 +275,16 @@
     term = make_term(now)
     term.cluster.observe(Report("vm-2", "h", "big", "north", False, 1, 1, 5, ()), now[0])
     low = job(1, hands=1, cores=16.0, rank="best_effort", voyageS=500.0)
-    term.submissions.append(Ticket(lambda view: None, low, low.id))
+    term.admission.submit(Ticket(lambda view: None, low, low.id))
     commit(term)
     commit(term)
     gang = job(2, hands=2, rig="group", rank="high", cores=16.0, together=True, crew="blue")
-    term.submissions.append(Ticket(lambda view: None, gang, gang.id))
+    term.admission.submit(Ticket(lambda view: None, gang, gang.id))
     commit(term)
     commit(term)
-    assert set(term.held) == {"vm-1", "vm-2"}
+    assert set(term.preemption.reservations.machines_of(gang.id)) == {"vm-1", "vm-2"}
     small = job(3, hands=1, cores=1.0, rank="critical", crew="blue")
-    term.submissions.append(Ticket(lambda view: None, small, small.id))
+    term.admission.submit(Ticket(lambda view: None, small, small.id))
     now[0] += 1.0
     for _ in range(3):
         commit(term)
@@ -309,11 +309,13 @@
     plan = plan_fleet([Demand(job(1, hands=4), 40, {})], [], {"dear": dear, "cheap": cheap}, lambda offer: False, 64)
     assert plan.rentals == {("cheap", "north", False): 10}
     expected = Demand(job(1, hands=4), 40, {})
-    Stock(Room(f"vm-{number}", "big", "north", False, 16.0, 4.0, 64.0) for number in range(10)).fill(expected, set())
+    CandidatePool(Candidate(f"vm-{number}", "big", "north", False, 16.0, 4.0, 64.0) for number in range(10)).fill(
+        expected, set()
+    )
     assert expected.tasks == 0, "one zone may hold them all"
 
 
-def plain_fill(demand: Demand, rooms: list[Room]) -> int:
+def plain_fill(demand: Demand, rooms: list[Candidate]) -> int:
     """The slow plain model: room by room, in the same order of preference."""
     spec, taken = demand.spec, 0
     for room in sorted(rooms, key=lambda room: (not room.busy, room.slow_cost(spec), room.gpus, room.cpus)):
@@ -338,7 +340,7 @@
         kind = data.draw(st.sampled_from([TYPES["big"], TYPES["small"]]))
         share = data.draw(st.sampled_from([0.0, 0.5, 1.0]))
         rooms.append(
-            Room(
+            Candidate(
                 f"vm-{number:03d}",
                 kind.name,
                 data.draw(st.sampled_from(["north", "south"])),
@@ -352,7 +354,7 @@
             )
         )
     plain = [
-        Room(
+        Candidate(
             room.name,
             room.type,
             room.zone,
@@ -376,7 +378,7 @@
     )
     grouped, single = Demand(spec, spec.tasks, {}), Demand(spec, spec.tasks, {})
     used: set[str] = set()
-    stock = Stock(rooms)
+    stock = CandidatePool(rooms)
     stock.fill(grouped, used)
     taken = plain_fill(single, plain)
     assert spec.tasks - grouped.tasks == taken == sum(grouped.zones.values())
@@ -391,8 +393,8 @@
     now = [0.0]
     term = make_term(now)
     for number in range(4):
-        term.notes[f"driftcleat/machines/vm-{number}"] = number
-    term.submissions.append(Ticket(lambda view: None, job(1), "req-000001"))
+        term.housekeeping.notes[f"driftcleat/machines/vm-{number}"] = number
+    term.admission.submit(Ticket(lambda view: None, job(1), "req-000001"))
     few = term.platform.write_rps * term.tuning.reserve
     batch = term.build(few)
     assert batch.created == {"req-000001"} and not batch.extra_puts, "what is left is kept for users"
@@ -420,7 +422,7 @@
         [Demand(job(1, hands=4), 4, {})], [], {"big": BIG}, lambda offer: False, 9, lambda zone: int(zone == "north")
     )
     assert {offer[1] for offer in plan.rentals} == {"south"}
-    rooms = [Room(f"vm-{number}", "big", "north", False, 8.0, 2.0, 32.0, away=number) for number in (1, 0, 2)]
+    rooms = [Candidate(f"vm-{number}", "big", "north", False, 8.0, 2.0, 32.0, away=number) for number in (1, 0, 2)]
     ((_, room),) = PlacementRound(rooms, 9, random.Random(1)).place(Job(job(2, hands=1), 0.0), Limits(99.0, 99.0), 1)
     assert room.name == "vm-0"
 
@@ -445,7 +447,7 @@
     for name, zone in (("vm-2", "north"), ("vm-3", "south")):
         term.cluster.observe(Report(name, "h", "big", zone, False, 1, 1, 5, ()), now[0])
     low = job(1, hands=2, cores=16.0, rank="best_effort", mooringS=1.0, stowS=0.0, imageGb=0.1, hull="img-low")
-    term.submissions.append(Ticket(lambda view: None, low, low.id))
+    term.admission.submit(Ticket(lambda view: None, low, low.id))
     commit(term)
     commit(term)
     cluster = term.cluster
@@ -456,8 +458,10 @@
         for key in machine.tasks:
             machine.phases[key] = "running"
     service = job(2, rig="daemon", rank="critical", hands=2, hull="img-svc", imageGb=60.0, crew="blue")
-    term.submissions.append(Ticket(lambda view: None, service, service.id))
+    term.admission.submit(Ticket(lambda view: None, service, service.id))
     commit(term)
     commit(term)
     assert all(place.stop is not None for place in cluster.jobs[low.id].places.values())
-    assert {held[0] for held in term.held.values()} == {service.id} and service.id in term.image_claims
+    reservations = term.preemption.reservations
+    assert 0 < len(reservations) == len(reservations.machines_of(service.id))
+    assert term.preemption.waits_for_image(term.cluster.jobs[service.id], now[0])
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,6 +1,7 @@
 """Small facts about the core, each of which guards against a failure that was seen or feared."""
 
 import random
+from collections.abc import Callable, Iterator
 
 import pytest
 from hypothesis import given, settings
@@ -10,11 +11,11 @@
 from driftcleat.fleet.sizing import Demand, Plan, plan_fleet
 from driftcleat.leadership.lease import LeaseClock
 from driftcleat.model import Cluster, IllegalMove, Job, JobState, Place, TaskState, change_job, change_task
+from driftcleat.placement.candidates import Candidate, allowed, fits
 from driftcleat.placement.engine import Limits, PlacementRound
-from driftcleat.placement.rooms import Room, allowed, fits
 from driftcleat.placement.victims import may_displace
 from driftcleat.settings import Tuning
-from driftcleat.store.client import Bucket
+from driftcleat.store.client import TokenBucket
 from driftcleat.store.records import CHUNKS, JOBS, Layout, encode_batch, indices, load_jobs, ranges
 from driftcleat.term import Term, Ticket, never_fits
 from driftcleat.wire.users import JobView
@@ -26,8 +27,8 @@
 SITE = platform()
 
 
-def make_term(now: list[float]) -> Term:
-    """Return a term with one empty machine `vm-1` that has reported."""
+def make_term(now: list[float], clock: Callable[[], float] | None = None) -> Term:
+    """Return a term with one empty machine `vm-1` that has reported; `clock` stands for the time in `now`."""
     cluster = Cluster(5, {}, dict(TYPES), now[0])
     term = Term(
         SITE,
@@ -35,7 +36,7 @@
         cluster,
         Layout(SITE.value_bytes, SITE.txn_ops),
         random.Random(1),
-        lambda: now[0],
+        clock or (lambda: now[0]),
         lambda: now[0],
         brand_new=True,
     )
@@ -56,7 +57,7 @@
 
 def placed(term: Term, **changes: object) -> Job:
     """Submit a job and place its tasks."""
-    term.submissions.append(Ticket(lambda view: None, job(1, **changes), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1, **changes), "req-000001"))
     commit(term)
     commit(term)
     found = term.cluster.jobs["req-000001"]
@@ -72,7 +73,7 @@
     newest = report(2)
     assert term.cluster.observe(newest, 1.0) is machine
     assert [signal.op for signal in term.cluster.orders(machine, newest)] == ["start"]
-    term.cancels.append(Ticket(lambda view: None, None, "req-000001"))
+    term.admission.cancel(Ticket(lambda view: None, None, "req-000001"))
     commit(term)
     term.cluster.dirty.add("vm-1")
     commit(term)
@@ -80,7 +81,7 @@
     assert term.cluster.jobs["req-000001"].places
     term.cluster.observe(report(3), 2.0)
     commit(term)
-    assert "req-000001" not in term.cluster.jobs and term.lookup("req-000001") == JobView(
+    assert "req-000001" not in term.cluster.jobs and term.admission.lookup("req-000001") == JobView(
         "req-000001", "cancelled", 0, 0
     )
 
@@ -90,7 +91,7 @@
     term = make_term(now)
     placed(term, hands=1)
     term.cluster.observe(report(2, token=4), 1.0)
-    term.cancels.append(Ticket(lambda view: None, None, "req-000001"))
+    term.admission.cancel(Ticket(lambda view: None, None, "req-000001"))
     commit(term)
     term.cluster.dirty.add("vm-1")
     commit(term)
@@ -135,7 +136,7 @@
     assert "forget" not in [signal.op for signal in term.cluster.orders(machine, newest)]
     commit(term)
     assert [signal.op for signal in term.cluster.orders(machine, newest)] == ["forget"]
-    assert term.lookup("req-000001") == JobView("req-000001", "done", 1, 0)
+    assert term.admission.lookup("req-000001") == JobView("req-000001", "done", 1, 0)
 
 
 def test_a_stale_report_changes_nothing_and_gets_no_orders() -> None:
@@ -153,9 +154,9 @@
     now = [0.0]
     term = make_term(now)
     told: list[JobView | None] = []
-    term.submissions.append(Ticket(told.append, job(1), "req-000001"))
+    term.admission.submit(Ticket(told.append, job(1), "req-000001"))
     batch = term.build()
-    assert term.lookup("req-000001") is None and told == []
+    assert term.admission.lookup("req-000001") is None and told == []
     term.commit(batch, 9, [])
     assert told == [JobView("req-000001", "pending", 0, 0)]
 
@@ -165,7 +166,7 @@
     term = make_term(now)
     machine = term.cluster.machines["vm-1"]
     term.cluster.forget_machine(machine, 0.0)
-    term.submissions.append(Ticket(lambda view: None, job(1), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1), "req-000001"))
     commit(term)
     commit(term)
     assert not term.cluster.jobs["req-000001"].places
@@ -174,17 +175,19 @@
 
 
 def test_a_round_out_of_time_goes_on_where_it_stopped() -> None:
+    ticks: Iterator[float] = iter([])
+    # Where no tick is left, the clock stands at what `now` says.
     now = [0.0]
-    term = make_term(now)
+    term = make_term(now, lambda: next(ticks, now[0]))
     for number in range(1, 4):
-        term.submissions.append(Ticket(lambda view: None, job(number, hands=1), f"req-{number:06d}"))
+        term.admission.submit(Ticket(lambda view: None, job(number, hands=1), f"req-{number:06d}"))
     commit(term)
-    ticks = iter([0.0, 0.0, 1.0] + [1.0] * 50)
-    term.clock = lambda: next(ticks)
+    ticks = iter([0.0, 0.0])
+    now[0] = 1.0
     batch = term.build()
     assert [move[0] for move in batch.moves] == ["req-000001"] and term.counters.rounds_cut == 1
     term.commit(batch, 9, [])
-    term.clock = lambda: 2.0
+    now[0] = 2.0
     assert [move[0] for move in term.build().moves] == ["req-000002", "req-000003"]
 
 
@@ -225,7 +228,7 @@
     )
     for number in range(30):
         cluster.observe(Report(f"vm-{number:06d}", "h:1", "big", "north", False, 1, 1, token, ()), 0.0)
-    term.submissions.append(Ticket(lambda view: None, spec, spec.id))
+    term.admission.submit(Ticket(lambda view: None, spec, spec.id))
     mark = 0
     for number in range(1, 12):
         now[0] += 1.0
@@ -251,13 +254,13 @@
     store = PlainStore(SITE)
     token = store.put_leader("a")
     term = make_term([0.0])
-    term.submissions.append(Ticket(lambda view: None, job(1), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1), "req-000001"))
     encoded = encode_batch(term.build(), term.layout, token, 1, 0)
     store.put_leader("b")
     assert store.txn(encoded.body) is None
 
 
-def slow_fits(spec: object, rooms: list[Room]) -> bool:
+def slow_fits(spec: object, rooms: list[Candidate]) -> bool:
     """The plain model of `find`: does any room take a task?"""
     return any(
         allowed(spec, room.type, room.zone, room.spot)  # type: ignore[arg-type]
@@ -270,7 +273,7 @@
 @given(st.data())
 def test_placement_finds_room_whenever_there_is_any(data: st.DataObject) -> None:
     rooms = [
-        Room(
+        Candidate(
             f"m{number}",
             data.draw(st.sampled_from(["big", "small"])),
             data.draw(st.sampled_from("ns")),
@@ -292,7 +295,7 @@
         together=data.draw(st.booleans()),
     )
     limits = Limits(float("inf"), float(data.draw(st.integers(0, 6))))
-    before = [Room(room.name, room.type, room.zone, room.spot, room.cpus, room.gpus, 16.0) for room in rooms]
+    before = [Candidate(room.name, room.type, room.zone, room.spot, room.cpus, room.gpus, 16.0) for room in rooms]
     most = limits.gpus
     round_ = PlacementRound(rooms, data.draw(st.integers(1, 5)), random.Random(3))
     got = round_.place(Job(spec, 0.0), limits, 100)
@@ -310,7 +313,7 @@
 def test_sizing_keeps_a_one_zone_gang_in_one_zone() -> None:
     """Seen with the plain model: two half rooms in two zones were counted, nothing was rented."""
     spec = job(1, rig="group", hands=4, accelerators=2.0, together=True)
-    rooms = [Room("a", "big", "north", False, 16, 4, 64), Room("b", "big", "south", False, 16, 4, 64)]
+    rooms = [Candidate("a", "big", "north", False, 16, 4, 64), Candidate("b", "big", "south", False, 16, 4, 64)]
     plan = plan_fleet([Demand(spec, 4, {})], rooms, TYPES, lambda offer: False, 10)
     assert sum(plan.rentals.values()) >= 1 and len({zone for _, zone, _ in plan.rentals}) == 1
 
@@ -337,7 +340,7 @@
 
 def test_a_bucket_never_exceeds_its_rate() -> None:
     now = [0.0]
-    bucket = Bucket(10.0, lambda: now[0])
+    bucket = TokenBucket(10.0, lambda: now[0])
     sent = 0
     for _ in range(500):
         now[0] += 0.01
@@ -364,10 +367,10 @@
 
 def test_a_gang_is_not_placed_while_a_task_of_an_older_attempt_may_be_there() -> None:
     gang = Job(job(1, rig="group", hands=2), 0.0)
-    rooms = [Room("a", "big", "north", False, 16, 4, 64)]
+    rooms = [Candidate("a", "big", "north", False, 16, 4, 64)]
     assert len(PlacementRound(rooms, 3, random.Random(1)).place(gang, Limits(99.0, 99.0), 9)) == 2
     change_task(gang, 1, TaskState.PLACED, Place("z", "north", 1, 0.0))
-    rooms = [Room("a", "big", "north", False, 16, 4, 64)]
+    rooms = [Candidate("a", "big", "north", False, 16, 4, 64)]
     assert PlacementRound(rooms, 3, random.Random(1)).place(gang, Limits(99.0, 99.0), 9) == []
 
 
@@ -375,13 +378,13 @@
     now = [0.0]
     term = make_term(now)
     attempt = placed(term, hands=1).places[0].attempt
-    term.cancels.append(Ticket(lambda view: None, None, "req-000001"))
+    term.admission.cancel(Ticket(lambda view: None, None, "req-000001"))
     commit(term)
-    assert term.fenced() == set()
+    assert term.cancellations.machines_to_fence() == set()
     now[0] = SITE.cancel_s * 0.5
     term.cluster.observe(report(2, TaskReport("req-000001/0", attempt, "running")), now[0])
     commit(term)
-    assert term.fenced() == {"vm-1"}
+    assert term.cancellations.machines_to_fence() == {"vm-1"}
 
 
 def test_nobody_is_stopped_for_a_job_that_comes_later() -> None:
@@ -416,12 +419,12 @@
     term = make_term(now)
     term.cluster.started_at = 0.0
     for number in (1, 2, 3):
-        term.submissions.append(Ticket(lambda view: None, job(number, rig="daemon", hands=1), f"req-{number:06d}"))
+        term.admission.submit(Ticket(lambda view: None, job(number, rig="daemon", hands=1), f"req-{number:06d}"))
     commit(term)
     commit(term)
     cluster = term.cluster
     cluster.observe(Report("vm-2", "h:2", "big", "north", False, 1, 1, 5, ()), now[0])
-    term.submissions.append(Ticket(lambda view: None, job(4, rig="daemon", hands=1, accelerators=4.0), "req-000004"))
+    term.admission.submit(Ticket(lambda view: None, job(4, rig="daemon", hands=1, accelerators=4.0), "req-000004"))
     commit(term)
     commit(term)
     spare, full = cluster.machines["vm-1"], cluster.machines["vm-2"]
@@ -430,17 +433,17 @@
         machine.changed_at = 0.0
         for key in machine.tasks:
             machine.phases[key] = "running"
-    assert term.thinned(now[0]) is None, "nothing is thin: one is full, the other more than half used"
+    assert term.consolidation_candidate(now[0]) is None, "nothing is thin: one is full, the other more than half used"
     for key in list(spare.tasks)[:2]:
         spare.drop(key, cluster.jobs[key[0]].spec, 0.0, cluster.image_of)
     full.drop(next(iter(full.tasks)), cluster.jobs["req-000004"].spec, 0.0, cluster.image_of)
-    assert term.thinned(now[0]) is None, "the other machine is empty: moving there would gain nothing"
+    assert term.consolidation_candidate(now[0]) is None, "the other machine is empty: moving there would gain nothing"
     full.add(("req-000001", 0), Place("vm-2", "north", 1), cluster.jobs["req-000001"].spec)
     full.phases[("req-000001", 0)] = "running"
-    assert term.thinned(now[0]) in (spare, full)
+    assert term.consolidation_candidate(now[0]) in (spare, full)
     full.images.clear()
     spare.images.clear()
-    assert term.thinned(now[0]) is None, "a move must not wait for a fetch"
+    assert term.consolidation_candidate(now[0]) is None, "a move must not wait for a fetch"
 
 
 def test_an_image_whose_fetch_was_given_up_is_not_taken_for_cached() -> None:
@@ -483,12 +486,12 @@
     now = [0.0]
     term = make_term(now)
     term.cluster.machines.clear()
-    term.submissions.append(Ticket(lambda view: None, job(1, hands=1, builds=["big"]), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1, hands=1, builds=["big"]), "req-000001"))
     commit(term)
     (first,) = term.plan_rentals(0.0).rentals
-    term.note_refusal(first, 0.0)
+    term.rentals.note_refusal(first, 0.0)
     (second,) = term.plan_rentals(0.0).rentals
     assert second != first and second[0] == "big"
-    term.note_refusal(second, 0.0)
+    term.rentals.note_refusal(second, 0.0)
     assert term.plan_rentals(0.0).rentals == {}
     assert term.plan_rentals(40.0).rentals != {}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,11 +11,11 @@
 
 from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Plan
-from driftcleat.leadership import Outlook
+from driftcleat.leadership import PeerSurvey
 from driftcleat.model import MachineState
-from driftcleat.net import Door, SocketBudget
+from driftcleat.net import ConnectionLimiter, SocketBudget
 from driftcleat.net.budget import OWN
-from driftcleat.net.door import Guest
+from driftcleat.net.limiter import ClientKind
 from driftcleat.term import Ticket
 from driftcleat.wire.workers import Report, TaskReport
 from driftcleat.workers import WorkerClient
@@ -43,81 +43,83 @@
     assert budget.front >= limit // 8, "most of what there is serves workers and users"
 
 
-def door(most: int) -> tuple[Door[int], list[int]]:
-    """Return a door and the list of those it closes."""
+def limiter(most: int) -> tuple[ConnectionLimiter[int], list[int]]:
+    """Return a limiter and the list of those it closes."""
     closed: list[int] = []
-    return Door(most, closed.append), closed
+    return ConnectionLimiter(most, closed.append), closed
 
 
 def test_beyond_the_bound_those_with_more_than_their_share_get_a_last_answer() -> None:
-    gate, _ = door(16)
+    limited, _ = limiter(16)
     for guest in range(16):
-        assert gate.opened(guest)
-        gate.began(guest, Guest.USER if guest < 2 else Guest.WORKER)
-    assert gate.crowded
-    last = {guest for guest in range(16) if gate.ended(guest)}
+        assert limited.opened(guest)
+        limited.began(guest, ClientKind.USER if guest < 2 else ClientKind.WORKER)
+    assert limited.crowded
+    last = {guest for guest in range(16) if limited.ended(guest)}
     assert last and all(guest >= 2 for guest in last), "users below their share keep theirs"
     # As many as are beyond the bound are given up, no more.
     for guest in last:
-        gate.gone(guest)
-    assert not gate.crowded and not any(gate.ended(guest) for guest in range(16) if guest not in last)
+        limited.gone(guest)
+    assert not limited.crowded and not any(limited.ended(guest) for guest in range(16) if guest not in last)
 
 
 def test_idle_users_make_room_for_reports() -> None:
-    gate, closed = door(16)
+    limited, closed = limiter(16)
     for guest in range(16):
-        gate.opened(guest)
-        gate.began(guest, Guest.USER)
+        limited.opened(guest)
+        limited.began(guest, ClientKind.USER)
         if guest < 12:
-            gate.idle[guest] = None
-    assert gate.opened(99) and closed == [0], "the one idle for longest"
+            limited.idle[guest] = None
+    assert limited.opened(99) and closed == [0], "the one idle for longest"
     # Of the idle ones it is a user's that goes, though a worker's has been idle for longer.
-    gate.began(1, Guest.WORKER)
-    gate.idle.clear()
-    gate.idle[1] = gate.idle[2] = None
-    gate.gone(15)
-    gate.opened(15)
-    gate.began(15, Guest.USER)
-    assert gate.opened(98) and closed == [0, 2]
-    gate.began(98, Guest.USER)
+    limited.began(1, ClientKind.WORKER)
+    limited.idle.clear()
+    limited.idle[1] = limited.idle[2] = None
+    limited.gone(15)
+    limited.opened(15)
+    limited.began(15, ClientKind.USER)
+    assert limited.opened(98) and closed == [0, 2]
+    limited.began(98, ClientKind.USER)
     for guest in range(1, 12):
-        gate.began(guest, Guest.USER)
-    gate.began(99, Guest.WORKER)
-    assert not gate.opened(100) and gate.turned_away == 1, "all are busy"
-    assert len(gate.open) == 16
+        limited.began(guest, ClientKind.USER)
+    limited.began(99, ClientKind.WORKER)
+    assert not limited.opened(100) and limited.turned_away == 1, "all are busy"
+    assert len(limited.open) == 16
 
 
 @settings(max_examples=60, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 30), st.booleans()), max_size=120))
 def test_the_door_counts_as_a_plain_model_does(moves: list[tuple[int, int, bool]]) -> None:
-    gate, closed = door(8)
-    plain: dict[int, tuple[Guest, bool]] = {}
+    limited, closed = limiter(8)
+    plain: dict[int, tuple[ClientKind, bool]] = {}
     for move, guest, worker in moves:
-        kind = Guest.WORKER if worker else Guest.USER
+        kind = ClientKind.WORKER if worker else ClientKind.USER
         if move == 0 and guest not in plain:
             before = len(closed)
-            taken = gate.opened(guest)
+            taken = limited.opened(guest)
             for victim in closed[before:]:
                 assert not plain.pop(victim)[1], "only an idle one is closed"
             assert taken == (len(plain) < 8)
             if taken:
-                plain[guest] = (Guest.UNKNOWN, False)
+                plain[guest] = (ClientKind.UNKNOWN, False)
         elif move == 1 and guest in plain:
-            gate.began(guest, kind)
+            limited.began(guest, kind)
             plain[guest] = (kind, True)
         elif move == 2 and guest in plain and plain[guest][1]:
-            if gate.ended(guest):
-                assert len(plain) > gate.kept
-                gate.gone(guest)
+            if limited.ended(guest):
+                assert len(plain) > limited.kept
+                limited.gone(guest)
                 del plain[guest]
             else:
                 plain[guest] = (plain[guest][0], False)
         elif move == 3:
-            gate.gone(guest)
+            limited.gone(guest)
             plain.pop(guest, None)
-        assert {known: gate.open[known] for known in gate.open} == {known: row[0] for known, row in plain.items()}
-        assert set(gate.idle) == {known for known, row in plain.items() if not row[1]}
-        assert all(gate.counts[kind] == sum(row[0] is kind for row in plain.values()) for kind in Guest)
+        assert {known: limited.open[known] for known in limited.open} == {
+            known: row[0] for known, row in plain.items()
+        }
+        assert set(limited.idle) == {known for known, row in plain.items() if not row[1]}
+        assert all(limited.counts[kind] == sum(row[0] is kind for row in plain.values()) for kind in ClientKind)
 
 
 @live
@@ -125,8 +127,8 @@
     """A descriptor budget of a few dozen: every request is answered in full, whoever has too many is closed."""
     leader = site.leader()
     assert leader is not None
-    gate = site.controllers[leader].front.door
-    gate.most, gate.kept = 24, 20
+    limited = site.controllers[leader].front.limiter
+    limited.most, limited.kept = 24, 20
     token = site.controllers[leader].election.token
     connector = aiohttp.TCPConnector(limit=0, force_close=False)
     async with aiohttp.ClientSession(connector=connector) as session:
@@ -142,9 +144,9 @@
         for _ in range(3):
             statuses = await asyncio.gather(*(ask(number) for number in range(20)))
             assert set(statuses) <= {404, 503}, "every one got its answer"
-            assert len(gate.open) <= gate.most
+            assert len(limited.open) <= limited.most
         await asyncio.gather(*(ask(number) for number in range(80)))
-        assert len(gate.open) <= gate.most
+        assert len(limited.open) <= limited.most
     await accepted(site, leader, raw_job(1, voyageS=0.5))
     await reaches(site, leader, "req-000001", "done")
     assert site.controllers[leader].election.token == token, "it still leads"
@@ -171,12 +173,12 @@
         async with aiohttp.ClientSession() as session:
             client = WorkerClient(session, 600.0, 8)
             addrs = [f"127.0.0.1:{port}/silent/{number}" for number in range(50)]
-            hanging = [asyncio.ensure_future(client.send(addr, 1, 1, [], doubtful=True)) for addr in addrs]
+            hanging = [asyncio.ensure_future(client.send(addr, 1, 1, [], likely_unreachable=True)) for addr in addrs]
             await asyncio.sleep(0)
             await asyncio.wait_for(client.send(f"127.0.0.1:{port}/heard", 1, 1, []), 60)
             assert asked.is_set() and not any(task.done() for task in hanging)
-            await asyncio.wait_for(client.send(f"127.0.0.1:{port}/silent/0", 1, 1, [], doubtful=True), 60)
-            assert len(client.asking) == 50, "one open call to a doubtful machine is enough"
+            await asyncio.wait_for(client.send(f"127.0.0.1:{port}/silent/0", 1, 1, [], likely_unreachable=True), 60)
+            assert len(client.asking) == 50, "one open call to a likely_unreachable machine is enough"
             free.set()
             await asyncio.gather(*hanging)
             assert not client.asking
@@ -199,13 +201,13 @@
 
 def test_silence_is_borne_longer_the_more_share_it() -> None:
     alone = counted({"north": (1, 60), "south": (2, 60)})
-    assert alone.borne_s("north") == 10.0 and not alone.dark("south")
+    assert alone.tolerated_s("north") == 10.0 and not alone.partitioned("south")
     many = counted({"north": (4, 60), "south": (4, 60)})
-    assert many.borne_s("north") == 40.0 and not many.dark("north")
+    assert many.tolerated_s("north") == 40.0 and not many.partitioned("north")
     zone = counted({"north": (60, 60), "south": (0, 60)})
-    assert zone.dark("north") and not zone.dark("south")
+    assert zone.partitioned("north") and not zone.partitioned("south")
     ours = counted({"north": (60, 60), "south": (60, 60)})
-    assert not ours.dark("north") and ours.borne_s("north") == 40.0, "it is us who hear nothing"
+    assert not ours.partitioned("north") and ours.tolerated_s("north") == 40.0, "it is us who hear nothing"
 
 
 def test_a_zone_that_comes_back_is_waited_for_until_its_last_machine_had_its_turn() -> None:
@@ -214,15 +216,15 @@
     counted({"north": (60, 60), "south": (0, 60)}).remember(until_when, 100.0)
     back = counted({"north": (2, 60), "south": (0, 60)})
     back.remember(until_when, 105.0)
-    assert back.dark("north") and not back.dark_now("north") and back.borne_s("north") == 40.0
+    assert back.partitioned("north") and not back.partitioned_now("north") and back.tolerated_s("north") == 40.0
     many: dict[str | None, float] = {}
     counted({"north": (8, 60), "south": (0, 60)}).remember(many, 100.0)
     few = counted({"north": (2, 60), "south": (0, 60)})
     few.remember(many, 105.0)
-    assert few.borne_s("north") == 40.0, "the same for many that hang"
+    assert few.tolerated_s("north") == 40.0, "the same for many that hang"
     later = counted({"north": (2, 60), "south": (0, 60)})
     later.remember(until_when, 120.0)
-    assert later.borne_s("north") == 10.0
+    assert later.tolerated_s("north") == 10.0
 
 
 def fleet_term(now: list[float], count: int, zones: tuple[str, ...] = ("north", "south")):  # type: ignore[no-untyped-def]
@@ -275,7 +277,7 @@
     # They hold work for which there is no room elsewhere.
     for machine in term.cluster.machines.values():
         machine.cpus, machine.gpus = 16.0, 4.0
-    term.submissions.append(Ticket(lambda view: None, job(1, hands=1), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1, hands=1), "req-000001"))
     commit(term)
     for number in range(5):
         place = type("P", (), {"attempt": 1, "stop": None, "machine": f"vm-north-{number}", "zone": "north"})()
@@ -291,7 +293,7 @@
     )
     for machine in term.cluster.machines.values():
         machine.cpus, machine.gpus = 16.0, 4.0
-    now[0] += SITE.lease_s * term.tuning.cut
+    now[0] += SITE.lease_s * term.tuning.partitioned
     assert "vm-north-0" in {machine.name for machine in term.surplus(kept(term), now[0])}, "not for ever"
 
 
@@ -299,26 +301,26 @@
     """Guards against a wave of spot machines taken without notice: silent together and never listed as failed."""
     now = [1000.0]
     term = fleet_term(now, 20)
-    term.listed = {name for name in term.cluster.machines if not name.startswith("vm-north")}
-    assert term.vanished(now[0]) == [], "heard just now"
+    term.reachability.listed = {name for name in term.cluster.machines if not name.startswith("vm-north")}
+    assert term.reachability.no_longer_listed(now[0]) == [], "heard just now"
     now[0] += SITE.report_s * 3 + 0.1
-    assert term.vanished(now[0]) == [], "a list may be twice its lag late, and these are new"
+    assert term.reachability.no_longer_listed(now[0]) == [], "a list may be twice its lag late, and these are new"
     for machine in term.cluster.machines.values():
         machine.rented_at -= 100.0
-    assert {machine.zone for machine in term.vanished(now[0])} == {"north"}
+    assert {machine.zone for machine in term.reachability.no_longer_listed(now[0])} == {"north"}
     heard = term.cluster.machines["vm-north-0"]
     heard.heard_at, before = now[0], heard.heard_at
-    assert heard not in term.vanished(now[0]), "it was heard after the list was drawn up"
+    assert heard not in term.reachability.no_longer_listed(now[0]), "it was heard after the list was drawn up"
     heard.heard_at = before
     assert term.surplus(kept(term), now[0]) == [], "what the list does name is waited for"
     # The same for machines that only the records know, after all controllers were gone.
     term.cluster.started_at = now[0] - 2 * SITE.list_lag_s - SITE.report_s - SITE.lease_s
     place = type("P", (), {"zone": "north"})()
     term.cluster.waiting = {"vm-taken": {("req-000009", 0): place}, "vm-south-0x": {("req-000009", 1): place}}
-    term.listed.add("vm-south-0x")
+    term.reachability.listed.add("vm-south-0x")
     for machine in term.cluster.machines.values():
         machine.heard_at = now[0] if machine.zone == "south" else now[0] - SITE.lease_s
-    assert term.unheard(now[0]) == {"vm-taken"}
+    assert term.reachability.never_reported(now[0]) == {"vm-taken"}
 
 
 def test_a_new_leader_does_not_take_a_cut_off_zone_for_late_boots() -> None:
@@ -341,7 +343,7 @@
     """Guards against waiting for the cloud's word about a hundred machines before the first new one is rented."""
     now = [1000.0]
     term = fleet_term(now, 20)
-    term.submissions.append(Ticket(lambda view: None, job(1, hands=8, rank="high", rig="daemon"), "req-000001"))
+    term.admission.submit(Ticket(lambda view: None, job(1, hands=8, rank="high", rig="daemon"), "req-000001"))
     commit(term)
     commit(term)
     held = {place.machine for place in term.cluster.jobs["req-000001"].places.values()}
@@ -374,7 +376,7 @@
     world.run(10.0)
     assert world.on_machines()
     site = world.platform
-    hold_s = min(site.lease_s * 2.0, site.cancel_s - site.lease_s - site.report_s)
+    max_uncertain_s = min(site.lease_s * 2.0, site.cancel_s - site.lease_s - site.report_s)
     begun = world.now
     for worker in world.alive():
         worker.cut = True
@@ -382,7 +384,7 @@
     for number in range(1, 5):
         world.cancel(f"req-{number:06d}")
     while world.now < begun + site.cancel_s + 5.0:
-        if world.now < begun + hold_s:
+        if world.now < begun + max_uncertain_s:
             for worker in world.alive():
                 worker.leased_at = world.now
         world.step()
@@ -415,17 +417,17 @@
     undo = await cut_peers(site, inside)
     site.name_sender(inside)
     site.store.down_for.add(inside)
-    await until(lambda: election.tended_token is not None, "it tends")
+    await until(lambda: election.isolated_token is not None, "it tends")
     status, answer, _ = await site.call(inside, "POST", "/agent/beat", report)
     assert (status, answer) == (200, {"helm": token, "signals": []}), "the last leader's token, and no command"
     status, _, _ = await site.call(inside, "POST", "/agent/beat", report | {"helm": token + 1})
-    assert status == 421 and election.tended_token is None, "a worker that has heard of a newer leader is not held"
+    assert status == 421 and election.isolated_token is None, "a worker that has heard of a newer leader is not held"
     # It goes on finding nobody, and still keeps nobody's lease.
     await asyncio.sleep(4 * election.ttl_s)
-    assert election.tended_token is None
-    election.outranked = False
-    await until(lambda: election.tended_token is not None, "it tends")
-    election.hold_s = 0.0
+    assert election.isolated_token is None
+    election.superseded = False
+    await until(lambda: election.isolated_token is not None, "it tends")
+    election.max_uncertain_s = 0.0
     assert (await site.call(inside, "POST", "/agent/beat", report))[0] == 421, "not for ever"
     for back in undo:
         back()
@@ -446,14 +448,14 @@
     asked: list[bool] = []
     ask = election.ask_peers
 
-    async def noted() -> Outlook:
-        outlook: Outlook = await ask()
-        asked.append(outlook.in_reach)
+    async def noted() -> PeerSurvey:
+        outlook: PeerSurvey = await ask()
+        asked.append(outlook.others_served)
         return outlook
 
     election.ask_peers = noted
     await until(lambda: len(asked) > 3, "it has asked")
-    assert all(asked) and election.tended_token is None
+    assert all(asked) and election.isolated_token is None
     assert election.role.value == "follower"
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -151,7 +151,7 @@
     for job_id in ids:
         await sim.call_off(job_id, outside)
     await gone_in_time(sim, *ids)
-    assert sim.controllers[mate].election.tended_token is None
+    assert sim.controllers[mate].election.isolated_token is None
     await sim.settle_down()
 
 
@@ -299,7 +299,7 @@
     stay_with(sim, back)
     await sim.rest(4.0)
     assert sim.controllers[back].election.leader_token > 0
-    assert sim.controllers[back].election.tended_token is None
+    assert sim.controllers[back].election.isolated_token is None
     await gone_in_time(sim, ids[0])
     await sim.settle_down()
 
--- a/tests/test_needs.py
+++ b/tests/test_needs.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from driftcleat.model.needs import NeedsGraph
+from driftcleat.term import Term
 from driftcleat.wire.users import BadField, pack_ids, parse_submission, unpack_ids
 
 from .samples import TYPES, job, platform, raw_job
@@ -81,7 +82,7 @@
         for job_id, state in plain.state.items():
             if state == "active":
                 assert graph.ready(job_id) == plain.ready(job_id)
-                assert (job_id in graph.doomed) == plain.below_cancelled(job_id)
+                assert (job_id in graph.cancel_pending) == plain.below_cancelled(job_id)
                 assert graph.level(job_id) == plain.level(job_id)
 
 
@@ -96,7 +97,7 @@
         graph.add(f"f{number}", [chain[0]], [chain[0]], 2)
     graph.cancelled(chain[0])
     graph.remove(chain[0])
-    assert len(graph.doomed) == 4999 + 1 + 2000
+    assert len(graph.cancel_pending) == 4999 + 1 + 2000
 
 
 @given(
@@ -137,6 +138,12 @@
     return ids
 
 
+def states_known(term: Term, job_ids: list[str]) -> set[str]:
+    """Return the states of those jobs that a term knows."""
+    views = [term.admission.lookup(job_id) for job_id in job_ids]
+    return {view.state for view in views if view is not None}
+
+
 def test_a_chain_runs_in_its_order_and_waits_without_a_place() -> None:
     """`World` raises if a task starts before all that its job needs is done."""
     world = World(3, platform(), TYPES)
@@ -144,8 +151,8 @@
     ids = pipeline(world, 1, 4)
     assert world.leader.term.layout.switched, "only who knows that all are new hands in such a job"
     assert [world.told[job_id] for job_id in ids[1:]] == ["pending"] * 3
-    queued, guaranteed = world.leader.term.ordered_jobs()
-    assert not {job.id for job in queued} & set(ids[1:]) and not guaranteed & set(ids[1:])
+    order = world.leader.term.queue.order()
+    assert not {job.id for job in order.jobs} & set(ids[1:]) and not order.guaranteed & set(ids[1:])
     world.leader.silent = True
     world.elect("b")
     world.settle()
@@ -160,13 +167,15 @@
     world.run(0.5)
     assert world.told[chains[0][0]] == "cancelled"
     term = world.leader.term
-    assert {view.state for job_id in chains[0] if (view := term.lookup(job_id)) is not None} == {"cancelled"}
+    assert {view.state for job_id in chains[0] if (view := term.admission.lookup(job_id)) is not None} == {
+        "cancelled"
+    }
     # The next leader finishes it from the records alone.
     world.leader.silent = True
     world.elect("b")
-    assert {view.state for job_id in chains[0] if (view := world.leader.term.lookup(job_id)) is not None} <= {
-        "cancelled"
-    }
+    assert {
+        view.state for job_id in chains[0] if (view := world.leader.term.admission.lookup(job_id)) is not None
+    } <= {"cancelled"}
     world.run(20.0)
     assert [world.states()[job_id] for job_id in chains[0]] == ["cancelled"] * 4
     late = job(30, hands=1, tows=[chains[0][2]])
@@ -194,7 +203,7 @@
     assert len(left) > 5 and f"driftcleat/jobs/{ids[0]}" not in left, "their own records are still open"
     world.elect("b")
     assert {
-        world.leader.term.lookup(f"req-{number:06d}").state  # type: ignore[union-attr]
+        world.leader.term.admission.lookup(f"req-{number:06d}").state  # type: ignore[union-attr]
         for number in range(2, 12)
     } == {"cancelled"}
     world.run(10.0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -263,7 +263,7 @@
     before = {(worker.name, task.index, task.attempt) for worker, task in site.world.on_machines()}
     undo = await cut_peers(site, first)
     # It would step down by itself after a while; here only a worker's token can tell it.
-    site.controllers[first].election.hold_s = 1000.0
+    site.controllers[first].election.max_uncertain_s = 1000.0
     site.name_sender(first)
     site.store.down_for.add(first)
     second = await until(lambda: site.leader() if site.leader() != first else None, "another leader")
@@ -353,7 +353,7 @@
     leader = site.leader()
     assert leader is not None
     election = site.controllers[leader].election
-    election.hold_s = 0.8
+    election.max_uncertain_s = 0.8
     site.store.down_for.add("all")
     await until(lambda: election.role.value == "unsure", "unsure")
     await asyncio.sleep(3.0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -80,6 +80,7 @@
         ("[fleet]\nsample = 3\n", "fleet.sample"),
         ("sample = 3\n", "INI"),
         ("[fleet]\nidle = nan\n", "fleet.idle"),
+        ("[fleet]\ncut = 3\npartitioned = 4\n", "fleet.partitioned"),
     ],
 )
 def test_a_bad_operator_setting_is_named(tmp_path: Path, text: str, key: str) -> None:
@@ -97,6 +98,14 @@
     assert (tuning.sample, tuning.idle, tuning.ttl) == (5, 2, Tuning().ttl)
 
 
+def test_a_renamed_operator_setting_is_accepted_under_its_old_name(tmp_path: Path) -> None:
+    path = tmp_path / "ops.ini"
+    path.write_text("[leadership]\ndeaf = 0.5\nhold = 3\n[fleet]\nmany = 0.1\ncut = 5\nthin = 7\n")
+    tuning = load_tuning(str(path))
+    assert (tuning.no_reports, tuning.uncertain) == (0.5, 3)
+    assert (tuning.correlated, tuning.partitioned, tuning.consolidate) == (0.1, 5, 7)
+
+
 def test_the_command_line_checks_and_reports(tmp_path: Path) -> None:
     good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
     good.write_text(TOML)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -186,5 +186,5 @@
     term = world.leader.term
     batch = term.build()
     gang = term.cluster.jobs["req-000002"]
-    assert term._stop_attempt(batch, gang, 0)
+    assert term.drains.stop_attempt(batch, gang, 0)
     assert {place.stop for place in batch.jobs["req-000002"].places.values()} == {gang.spec.save_s}
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -160,16 +160,18 @@
     world.run(25.0)
     term = world.elect("b").term
     world.run(6.0)
-    term.latch_wanted = True
+    term.migration.latch_wanted = True
     world.step()
     world.store.lower()
-    assert term.layout.switched and len(term.unmoved) > 1
-    last = max(term.unmoved)
+    assert term.layout.switched and len(term.migration.unmoved) > 1
+    last = max(term.migration.unmoved)
     world.cancel(last)
-    before = len(term.unmoved)
+    before = len(term.migration.unmoved)
     while world.told[last] != "cancelled":
         world.step(0.02)
-    assert len(term.unmoved) >= before - 2 > 0, "its move goes before the others', but for one that had begun"
+    assert len(term.migration.unmoved) >= before - 2 > 0, (
+        "its move goes before the others', but for one that had begun"
+    )
     world.run(world.platform.cancel_s)
     assert not any(task.job.id == last for _, task in world.on_machines())
 
@@ -222,7 +224,7 @@
             world.leader.silent = rng.random() < 0.7
             world.elect(rng.choice("abc"), old=not new and rng.random() < 0.5)
         if new:
-            world.leader.term.latch_wanted = True
+            world.leader.term.migration.latch_wanted = True
         if switched_at is None and VERSION in world.store.data:
             switched_at = step
         if switched_at is not None and step >= switched_at + fall_after:
@@ -233,7 +235,7 @@
     world.settle(1200.0)
     assert set(world.states().values()) <= {"done", "cancelled"}, world.states()
     assert VERSION in world.store.data and world.started > 20
-    assert not world.leader.term.unmoved
+    assert not world.leader.term.migration.unmoved
 
 
 # -- whole controllers ---------------------------------------------------------------------------------------
@@ -323,7 +325,7 @@
         assert leader is not None
         follower = next(label for label in LABELS if label != leader)
         # What hangs below a cancelled job is called cancelled by whoever answers, from the records alone.
-        sim.controllers[leader].term._take_doomed = lambda batch: None  # type: ignore[union-attr,method-assign]
+        sim.controllers[leader].term.admission.take_dependents = lambda batch: None  # type: ignore[union-attr,method-assign]
         await sim.call_off("req-000001")
         sim.part(follower)
         assert await sim.poll("req-000004", follower) == 200 and sim.told["req-000004"] == "cancelled"
@@ -332,7 +334,7 @@
         await sim.rest(3.0)
         status, _ = await sim.ask("POST", "/v1/jobs", raw_job(60, tows=["req-000001"]), leader)
         assert status == 503
-        del sim.controllers[leader].term._take_doomed  # type: ignore[union-attr]
+        del sim.controllers[leader].term.admission.take_dependents  # type: ignore[union-attr]
         await sim.settle_down()
 
     Simulation(4).play(story)
--- a/tests/world.py
+++ b/tests/world.py
@@ -384,10 +384,10 @@
             lambda: self.now,
             lambda: self.now,
         )
-        term.garbage.extend(orphans)
+        term.housekeeping.garbage.extend(orphans)
         for item in self.store.items(RENTALS):
             name = item.key[len(RENTALS) :]
-            term.open_rentals[name] = OpenRental(name, wire.decode(bytes(item.value), RentalRecord))
+            term.rentals.restore(OpenRental(name, wire.decode(bytes(item.value), RentalRecord)))
         mark = self.store.data.get(BATCH, (None, 0))
         leader = Leader(term, mark[1], old=old)
         self.leaders.append(leader)
@@ -452,12 +452,12 @@
         term = leader.term
         if leader.silent or leader.stepped_down or not self.cloud_up:
             return
-        names = term.fenced() | term.unheard(self.now)
-        if self.now >= term.place_from:
+        names = term.cancellations.machines_to_fence() | term.reachability.never_reported(self.now)
+        if self.now >= term.pacing.place_from:
             plan = term.plan_rentals(self.now)
             names |= {machine.name for machine in term.surplus(plan, self.now)}
             if plan.rentals and len(self.alive()) < 14:
-                term.rent(plan)
+                term.rentals.rent(plan)
         for name in names:
             machine = term.known_machine(name, self.now)
             worker = self.workers.get(name)
@@ -466,18 +466,18 @@
                 worker.tasks.clear()
             if machine.state.value != "gone":
                 term.cluster.forget_machine(machine, self.now)
-        if self.held_by is not None and self.now >= term.place_from:
+        if self.held_by is not None and self.now >= term.pacing.place_from:
             # Workers that an earlier leader holds are shown the new token.
             for worker in self.alive():
                 known = term.cluster.machines.get(worker.name)
                 if (known is None or known.report is None) and not worker.cut and not worker.deaf:
                     worker.direct(term.cluster.token, worker.session, [])
-        for rental in list(term.open_rentals.values()):
+        for rental in list(term.rentals.open.values()):
             machines = self.rentals_done.get(rental.name)
             if machines is None:
                 machines = tuple(self.boot(rental.record) for _ in range(min(rental.record.count, 3)))
                 self.rentals_done[rental.name] = machines
-            term.settle_rental(rental, machines, self.now)
+            term.rentals.settle(rental, machines, self.now)
 
     def boot(self, record: RentalRecord) -> str:
         """A machine comes up."""
@@ -506,11 +506,11 @@
             for need in spec.needs or ()
             if ENDED + need in self.store.data
         }
-        leader.term.submissions.append(Ticket(answered, spec, spec.id, ended))
+        leader.term.admission.submit(Ticket(answered, spec, spec.id, ended))
 
     def cancel(self, job_id: str) -> None:
         """A user cancels a job."""
-        if self.leader.term.lookup(job_id) is None:
+        if self.leader.term.admission.lookup(job_id) is None:
             return
 
         def answered(view: JobView | None) -> None:
@@ -520,7 +520,7 @@
                     self.cancelled_at.setdefault(job_id, self.now)
 
         self.wanted_off.add(job_id)
-        self.leader.term.cancels.append(Ticket(answered, None, job_id))
+        self.leader.term.admission.cancel(Ticket(answered, None, job_id))
 
     def tell(self, view: JobView) -> None:
         """A user is told a job's state."""
@@ -628,7 +628,7 @@
     def poll_all(self) -> None:
         """Users ask for the state of every accepted job; none may be forgotten."""
         for job_id in list(self.told):
-            view = self.leader.term.lookup(job_id)
+            view = self.leader.term.admission.lookup(job_id)
             if view is None:
                 value = self.store.data.get(ENDED + job_id)
                 if value is None:
--- a/tools/record.py
+++ b/tools/record.py
@@ -75,8 +75,8 @@
     messages = [
         peers.Ask("a"),
         peers.Ping("a"),
-        peers.View("a", "leading", "a", 5, 0.1, -1.0, True, peers.Standing(0.0, ["req-000001"])),
-        peers.Pong("a", True, "a", 5, peers.Standing(0.5, None)),
+        peers.View("a", "leading", "a", 5, 0.1, -1.0, True, peers.LeaderStatus(0.0, ["req-000001"])),
+        peers.Pong("a", True, "a", 5, peers.LeaderStatus(0.5, None)),
         peers.Pong("b", False, None, 0),
         peers.Forward("GET", "/v1/jobs/req-000001", ""),
         peers.Forwarded(200, "{}", None),
