--- a/driftcleat/term/admission.py
+++ b/driftcleat/term/admission.py
@@ -33,7 +33,8 @@
     """The requests that wait for a batch, and the final states of jobs that ended in this term."""
 
     def __init__(self, context: TermContext, arrivals: Arrivals) -> None:
-        self._platform, self._tuning = context.platform, context.tuning
+        # Requests that may wait at once.
+        self.most_waiting = context.tuning.queue * context.platform.write_rps
         self._cluster, self._layout, self._wall = context.cluster, context.layout, context.wall
         self._arrivals = arrivals
         self._submissions: deque[Ticket] = deque()
@@ -66,8 +67,7 @@
     @property
     def full(self) -> bool:
         """Whether no more requests can be taken for now."""
-        waiting = len(self._submissions) + len(self._cancellations)
-        return waiting >= self._tuning.queue * self._platform.write_rps
+        return len(self._submissions) + len(self._cancellations) >= self.most_waiting
 
     @property
     def names_needs(self) -> bool:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,7 +1,6 @@
 """Real controllers on loopback, with stand-ins for everything around them."""
 
 import asyncio
-import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -213,7 +212,7 @@
     leader = site.leader()
     assert leader is not None
     term = site.controllers[leader].term
-    term.tuning = dataclasses.replace(term.tuning, queue=0.0)
+    term.admission.most_waiting = 0.0
     status, _, headers = await site.call(leader, "POST", "/v1/jobs", raw_job(1))
     assert status == 429 and int(headers["Retry-After"]) >= 1
 
