--- a/tools/mixed.py
+++ b/tools/mixed.py
@@ -1,9 +1,9 @@
-"""Runs two real versions side by side on loopback, against the tests' stand-ins: `python -m tools.mixed [--old COMMIT]`.
+"""Runs two real versions side by side on loopback, against the tests' stand-ins: `python -m tools.mixed`.
 
 Three processes of the old version (by default the one that `deploy/service.toml` names as `production`) serve; one
 after the other ends and comes back as the newest commit. An old version that knows the second data version begins it
-by itself, and both then work on its records. Needs the repository's history, so it is no part of CI. Fails if a job is
-not done.
+by itself, and both then work on its records. Needs the repository's history, so it is no part of CI. Fails if a job
+is not done.
 """
 
 import asyncio
--- a/tools/walk.py
+++ b/tools/walk.py
@@ -1,8 +1,8 @@
 """Plays more of the random walk of `tests/test_meetings_walk.py`: `python -m tools.walk FIRST LAST [--digest]`.
 
-With `--digest` each walk ends with the number of the store's changes and a digest of all records: two versions of the
-sources that decide alike print the same (set PYTHONHASHSEED, so that sets keep their order). For changes that must not
-change behaviour.
+With `--digest` each walk ends with the number of the store's changes and a digest of all records: two versions of
+the sources that decide alike print the same (set PYTHONHASHSEED, so that sets keep their order). For changes that
+must not change behaviour.
 """
 
 import hashlib
