An HTTP server on aiohttp's parser alone; controller.py split by concern

Now one protocol a connection uses aiohttp's C parser, answers are bytes, and a report without news is answered without a task.

controller.py becomes current term, writer, rebuild, reports, peers' server and survey, stop dispatcher, background; the fleet manager takes what it needs instead of the whole controller.

--- a/driftcleat/api/__init__.py
+++ b/driftcleat/api/__init__.py
@@ -1,6 +1,8 @@
-"""The users' interface and the servers that listen on `bind` and `back`."""
+"""The users' and workers' interfaces and the servers that listen on `bind` and `back`."""
 
-from .http import Answer, Listener, serve
+from .answers import Answer
+from .reports import ReportApi
+from .server import Listener, serve
 from .users import UserApi
 
-__all__ = ["Answer", "Listener", "UserApi", "serve"]
+__all__ = ["Answer", "Listener", "ReportApi", "UserApi", "serve"]
--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -9,9 +9,10 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import Any
 
 from driftcleat import wire
+from driftcleat.leadership import CurrentTerm
 from driftcleat.model import JobState
 from driftcleat.peers.client import PeerClient, PeerError
 from driftcleat.settings import Platform, Tuning
@@ -30,8 +31,8 @@
     parse_submission,
 )
 
+from .answers import Answer
 from .deadline import Deadline
-from .http import Answer
 
 log = logging.getLogger(__name__)
 
@@ -46,20 +47,6 @@
 LEADER_POLL_SHARE = 0.7
 
 
-class Leadership(Protocol):
-    """What the users' interface needs to know of the controller it runs in."""
-
-    term: Term | None
-
-    @property
-    def holds(self) -> bool: ...
-
-    @property
-    def leader(self) -> str | None: ...
-
-    def wake_writer(self) -> None: ...
-
-
 class UserApi:
     """Answers users."""
 
@@ -69,10 +56,10 @@
         tuning: Tuning,
         store: StoreClient,
         peers: PeerClient,
-        leadership: Leadership,
+        current: CurrentTerm,
         clock: Callable[[], float],
     ) -> None:
-        self.platform, self.tuning, self.store, self.peers, self.lead = platform, tuning, store, peers, leadership
+        self.platform, self.tuning, self.store, self.peers, self.current = platform, tuning, store, peers, current
         self.clock = clock
         self.retry_s = max(1, round(tuning.retry * platform.report_s))
         # Users wait 2 to 5 s for a response: what cannot have its turn at the store soon is refused at once.
@@ -139,12 +126,12 @@
             job_id = parse_id(raw)
         except BadField as error:
             return Answer.error(400, str(error), error.field)
-        if not self.lead.holds:
+        if not self.current.holds:
             return await self._pass_on("POST", path, body, forwarded, deadline)
         return await self._submit_here(job_id, raw, deadline)
 
     async def _submit_here(self, job_id: str, raw: dict[str, Any], deadline: Deadline) -> Answer:
-        term = self.lead.term
+        term = self.current.term
         if term is None:
             return self.unavailable("no leader")
         # A job accepted before is known whatever its repeat looks like, so it is looked up first.
@@ -210,7 +197,7 @@
         ticket.answer = lambda view: None if future.done() else future.set_result(view)
         (term.admission.submit if submission else term.admission.cancel)(ticket)
         self.outstanding.add(future)
-        self.lead.wake_writer()
+        self.current.wake_writer()
         try:
             return await asyncio.wait_for(future, min(self.platform.report_s, deadline.left_s))
         except TimeoutError:
@@ -219,20 +206,20 @@
             self.outstanding.discard(future)
 
     def _still(self, term: Term) -> bool:
-        return self.lead.holds and self.lead.term is term
+        return self.current.holds and self.current.term is term
 
     # -- polls --------------------------------------------------------------------------------------------
 
     async def _poll(self, path: str, job_id: str, forwarded: bool, deadline: Deadline) -> Answer:
-        term = self.lead.term
+        term = self.current.term
         view = self.finals.get(job_id)
         if view is None and term is not None:
             view = term.admission.lookup(job_id)
-            if view is not None and view.state not in FINAL and not self.lead.holds:
+            if view is not None and view.state not in FINAL and not self.current.holds:
                 view = None
         if view is not None:
             return self._found(view)
-        if not self.lead.holds and not forwarded and self.lead.leader not in (None, self.platform.label):
+        if not self.current.holds and not forwarded and self.current.leader not in (None, self.platform.label):
             answer = await self._pass_on("GET", path, b"", forwarded, deadline)
             if answer.status in (200, 404):
                 return answer
@@ -241,7 +228,7 @@
     async def _poll_store(self, job_id: str, term: Term | None) -> Answer:
         """Answer from the records: the head first, so that a job ending in between is still found."""
         try:
-            if term is None or not self.lead.holds:
+            if term is None or not self.current.holds:
                 item = await self.store.get(JOBS + job_id, self.most_wait_s)
                 if item is not None:
                     job = load_head(item)
@@ -317,9 +304,9 @@
         final = self.finals.get(job_id)
         if final is not None:
             return Answer(200, wire.encode(JobView(job_id, final.state)))
-        if not self.lead.holds:
+        if not self.current.holds:
             return await self._pass_on("POST", path, b"", forwarded, deadline)
-        term = self.lead.term
+        term = self.current.term
         if term is None:
             return self.unavailable("no leader")
         view = await self._known(term, job_id)
@@ -338,7 +325,7 @@
     # -- passing on ---------------------------------------------------------------------------------------
 
     async def _pass_on(self, method: str, path: str, body: bytes, forwarded: bool, deadline: Deadline) -> Answer:
-        leader = self.lead.leader
+        leader = self.current.leader
         if forwarded or leader is None or leader == self.platform.label:
             return self.elsewhere("no leader")
         message = peer_messages.Forward(method, path, body.decode("utf-8", "replace"))
--- a/driftcleat/fleet/manager.py
+++ b/driftcleat/fleet/manager.py
@@ -3,17 +3,19 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from driftcleat import wire
-from driftcleat.fleet.cloud import CloudError, NoCapacity
+from driftcleat.api.reports import ReportApi
+from driftcleat.background import Background
+from driftcleat.fleet.cloud import CloudClient, CloudError, NoCapacity
+from driftcleat.leadership import CurrentTerm
+from driftcleat.metrics import Metrics
 from driftcleat.model import Machine, MachineState, change_machine
+from driftcleat.settings import Platform, Tuning
 from driftcleat.store.records import TYPES
 from driftcleat.term import OpenRental, Term
 from driftcleat.wire.cloud import Listed, RentRequest
-
-if TYPE_CHECKING:
-    from driftcleat.controller import Controller
+from driftcleat.workers.dispatch import StopDispatcher
 
 log = logging.getLogger(__name__)
 
@@ -21,25 +23,35 @@
 class FleetManager:
     """Runs while we lead; remembers nothing that a new leader would need."""
 
-    def __init__(self, controller: "Controller") -> None:
-        self.controller = controller
-        self.platform, self.tuning, self.clock = controller.platform, controller.tuning, controller.clock
+    def __init__(
+        self,
+        platform: Platform,
+        tuning: Tuning,
+        cloud: CloudClient,
+        current: CurrentTerm,
+        reports: ReportApi,
+        dispatcher: StopDispatcher,
+        background: Background,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self.platform, self.tuning, self.clock = platform, tuning, clock
+        self._cloud, self._current, self._reports = cloud, current, reports
+        self._dispatcher, self._background, self._metrics = dispatcher, background, metrics
         self.types_at = float("-inf")
         self.types_stored = False
         self.listed_at = float("-inf")
-        self.heard_at = float("-inf")
         self.returning: set[str] = set()
         # Of those, the machines that keep a task of a job whose cancellation is committed.
         self.fencing: set[str] = set()
         self.missing: dict[str, float] = {}
         self.announcing = False
-        self.wake = asyncio.Event()
 
     def reset(self, types_stored: bool) -> None:
         """A new term begins."""
         self.types_at = self.listed_at = float("-inf")
         self.types_stored = types_stored
-        self.heard_at = self.clock()
+        self._reports.heard_at = self.clock()
         self.returning, self.fencing, self.missing = set(), set(), {}
         self.announcing = False
 
@@ -47,25 +59,14 @@
         """Return the loops to run."""
         return [self._types_loop, self._list_loop, self._size_loop, self._rent_loop, self._return_loop]
 
-    def _term(self) -> Term | None:
-        return self.controller.term if self.controller.holds else None
-
-    def _leader_status(self) -> Term | None:
-        """The term whose cancellations are carried out: an unsure leader goes on with what is committed.
-
-        Guards against cancelled tasks that an earlier leader's workers keep while the store is down for all: their
-        addresses come from the list, they are shown our token, and the cloud fences what does not obey.
-        """
-        return self.controller.term_to_enforce
-
     async def _types_loop(self) -> None:
         while True:
-            term = self._term()
+            term = self._current.to_decide
             if term is not None and (not term.cluster.types or self.clock() - self.types_at > 20):
                 try:
-                    types = await self.controller.cloud.types()
+                    types = await self._cloud.types()
                     self.types_at = self.clock()
-                    if self.controller.term is term and types:
+                    if self._current.term is term and types:
                         self._take_types(term, {kind.name: kind for kind in types})
                 except CloudError as error:
                     log.debug("types: %s", error)
@@ -83,17 +84,17 @@
             self.types_stored = True
             term.housekeeping.notes[TYPES] = tuple(types.values())
         term.pacing.note_change()
-        self.controller.wake_writer()
+        self._current.wake_writer()
 
     async def _list_loop(self) -> None:
         pause = max(2.0 / self.platform.cloud_rps, self.platform.list_lag_s / 2)
         while True:
-            term = self._leader_status()
+            term = self._current.to_enforce
             if term is not None and self.clock() - self.listed_at > pause:
                 try:
-                    machines = await self.controller.cloud.machines()
+                    machines = await self._cloud.machines()
                     self.listed_at = self.clock()
-                    if self.controller.term is term:
+                    if self._current.term is term:
                         self._take_list(term, machines)
                 except CloudError as error:
                     log.debug("list: %s", error)
@@ -123,7 +124,7 @@
                 if machine.report is None and machine.addr:
                     unaware.append(machine)
         if unaware and not self.announcing:
-            self.controller.spawn(self._announce_token(term, unaware))
+            self._background.spawn(self._announce_token(term, unaware))
         term.reachability.listed = names
         for machine in term.reachability.no_longer_listed(now):
             self._return_machine(term, machine, "not listed any more")
@@ -148,8 +149,12 @@
         try:
             await asyncio.sleep(max(0.0, term.pacing.place_from - self.clock()))
             for machine in machines:
-                if self._leader_status() is term and machine.report is None and machine.state is MachineState.BOOTING:
-                    self.controller.spawn(self.controller.raise_token(machine.addr))
+                if (
+                    self._current.to_enforce is term
+                    and machine.report is None
+                    and machine.state is MachineState.BOOTING
+                ):
+                    self._background.spawn(self._dispatcher.raise_token(machine.addr))
                     await asyncio.sleep(self.platform.report_s / 300)
         finally:
             self.announcing = False
@@ -158,17 +163,17 @@
         while True:
             await asyncio.sleep(self.platform.report_s / 4)
             try:
-                await asyncio.wait_for(self.wake.wait(), self.platform.report_s / 4)
+                await asyncio.wait_for(self._current.changed.wait(), self.platform.report_s / 4)
             except TimeoutError:
                 pass
-            self.wake.clear()
-            term = self._leader_status()
+            self._current.changed.clear()
+            term = self._current.to_enforce
             if term is None:
                 continue
             now = self.clock()
             for name in term.cancellations.machines_to_fence():
                 self._fence(term, term.known_machine(name, now))
-            if self._term() is None or not term.cluster.types:
+            if self._current.to_decide is None or not term.cluster.types:
                 continue
             for name in term.reachability.never_reported(now):
                 self._return_machine(term, term.known_machine(name, now), "not heard of")
@@ -180,24 +185,24 @@
             for machine in term.surplus(plan, now):
                 self._return_machine(term, machine, f"{machine.state.value}, surplus")
             thin = term.consolidation_candidate(now) if not plan.rentals else None
-            self.controller.metrics.spent("sizing", self.clock() - now)
+            self._metrics.spent("sizing", self.clock() - now)
             if thin is not None:
                 term.drains.drain(thin, "its replicas fit elsewhere")
-                self.controller.wake_writer()
+                self._current.wake_writer()
             # Requests that wait for the cloud's rate would be many small ones: let the need add up instead.
             waiting = len(term.rentals.unsettled)
             if plan.rentals and waiting < max(1.0, self.platform.cloud_rps):
                 log.info("renting %s", plan.rentals)
                 term.rentals.rent(plan)
-                self.controller.wake_writer()
-            silent_s = now - self.heard_at
+                self._current.wake_writer()
+            silent_s = now - self._reports.heard_at
             if (
                 term.cluster.machines
                 and silent_s > self.platform.lease_s * self.tuning.no_reports
                 and any(machine.report is not None for machine in term.cluster.machines.values())
             ):
-                self.heard_at = now
-                self.controller.election.ask_resign("no worker reports to us")
+                self._reports.heard_at = now
+                self._current.election.ask_resign("no worker reports to us")
 
     def _fence(self, term: Term, machine: Machine) -> None:
         """Have the cloud end a machine that keeps a cancelled task; no new decision, so also while unsure."""
@@ -207,7 +212,7 @@
     def _return_machine(self, term: Term, machine: Machine, why: str) -> None:
         if machine.state in (MachineState.RETURNING, MachineState.GONE):
             return
-        if machine.name not in self.fencing and self._term() is None:
+        if machine.name not in self.fencing and self._current.to_decide is None:
             # An unsure leader decides nothing new.
             return
         log.info("returning %s: %s", machine.name, why)
@@ -217,11 +222,11 @@
     async def _rent_loop(self) -> None:
         while True:
             await asyncio.sleep(self.platform.report_s / 30)
-            term = self._term()
+            term = self._current.to_decide
             if term is None:
                 continue
             for rental in list(term.rentals.open.values()):
-                if self._term() is not term:
+                if self._current.to_decide is not term:
                     break
                 await self._rent(term, rental)
 
@@ -229,7 +234,7 @@
         record = rental.record
         request = RentRequest(rental.name, record.type, record.zone, record.spot, record.count)
         try:
-            machines = await self.controller.cloud.rent(request)
+            machines = await self._cloud.rent(request)
         except NoCapacity:
             machines = ()
             term.rentals.note_refusal((record.type, record.zone, record.spot), self.clock())
@@ -247,29 +252,29 @@
             len(machines),
             record.count,
         )
-        if self.controller.term is term:
+        if self._current.term is term:
             if machines and len(machines) < record.count:
                 term.rentals.note_refusal((record.type, record.zone, record.spot), self.clock())
             term.rentals.settle(rental, machines, self.clock())
-            self.controller.wake_writer()
-            self.wake.set()
+            self._current.wake_writer()
+            self._current.changed.set()
 
     async def _return_loop(self) -> None:
         while True:
             await asyncio.sleep(self.platform.report_s / 15)
-            term = self._leader_status()
+            term = self._current.to_enforce
             if term is None:
                 continue
-            names = sorted(self.returning if self._term() is term else self.returning & self.fencing)[:100]
+            names = sorted(self.returning if self._current.to_decide is term else self.returning & self.fencing)[:100]
             if not names:
                 continue
             try:
-                await self.controller.cloud.give_back(names)
+                await self._cloud.give_back(names)
             except CloudError as error:
                 log.debug("return: %s", error)
                 await asyncio.sleep(self.platform.report_s / 6)
                 continue
-            if self.controller.term is not term:
+            if self._current.term is not term:
                 continue
             for name in names:
                 self.returning.discard(name)
@@ -280,4 +285,4 @@
                     term.cluster.forget_machine(machine, self.clock())
                     term.counters.returned += 1
             term.pacing.note_change()
-            self.controller.wake_writer()
+            self._current.wake_writer()
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -296,7 +296,7 @@
                 process.cancel()
                 self.tasks.add(process)
                 process.add_done_callback(self.tasks.discard)
-                for task in self.controllers[label].tasks:
+                for task in self.controllers[label].background.tasks:
                     task.cancel()
 
     def lead(self) -> str | None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -222,7 +222,7 @@
     leader = site.leader()
     assert leader is not None
     controller = site.controllers[leader]
-    answer = await controller._handle_back("GET", "/status", b"")
+    answer = await controller.handle_back("GET", "/status", b"")
     status = wire.decode(answer.body, dict)
     assert status["role"] == "leading" and status["leader"] == leader and status["batch"]["count"] >= 0
     view = wire.decode((await controller.answer_peer(wire.encode(peers.Ask("x")))).body, peers.View)
@@ -266,9 +266,9 @@
     site.name_sender(first)
     site.store.down_for.add(first)
     second = await until(lambda: site.leader() if site.leader() != first else None, "another leader")
-    batches = site.controllers[first].batch_number
+    batches = site.controllers[first].writer.batch_number
     await until(lambda: not site.controllers[first].election.answers_workers, "the old one has stepped down")
-    assert site.controllers[first].batch_number == batches, "it decided nothing"
+    assert site.controllers[first].writer.batch_number == batches, "it decided nothing"
     await accepted(site, second, raw_job(2, voyageS=0.5))
     await reaches(site, second, "req-000002", "done")
     assert before <= {(worker.name, task.index, task.attempt) for worker, task in site.world.on_machines()}
