--- a/driftcleat/api/server.py
+++ b/driftcleat/api/server.py
@@ -31,6 +31,9 @@
 # Connections without a whole request for so long are closed.
 IDLE_S = 75.0
 SWEEPS_AN_IDLE_TIME = 5
+# Nobody reads a body before it is complete, so its stream must never ask the transport to pause: what the event loop
+# hands over at once is less than this.
+NEVER_PAUSED = 1024 * 1024
 # What the head of a request may take beside its body.
 MAX_HEAD = 16 * 1024
 # When to come back after an error of our own.
@@ -65,8 +68,7 @@
     def __init__(self, listener: "Listener", loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._listener = listener
-        # A whole body fits the stream's buffer: nobody reads it before it is complete.
-        self._requests = HttpRequestParser(self, loop, listener.most_body)
+        self._requests = HttpRequestParser(self, loop, listener.most_body + NEVER_PAUSED)
         self._waiting: deque[tuple[RawRequestMessage, StreamReader]] = deque()
         self._received = 0
         self._busy = False
