--- a/driftcleat/fleet/manager.py
+++ b/driftcleat/fleet/manager.py
@@ -8,6 +8,7 @@
 from driftcleat.api.reports import ReportApi
 from driftcleat.background import Background
 from driftcleat.fleet.cloud import CloudClient, CloudError, NoCapacity
+from driftcleat.fleet.sizing import Plan
 from driftcleat.leadership import CurrentTerm
 from driftcleat.metrics import Metrics
 from driftcleat.model import Machine, MachineState, change_machine
@@ -20,6 +21,10 @@
 log = logging.getLogger(__name__)
 
 
+# The least pause between two rounds of sizing, and the longest wait for a change before one, of the report interval.
+SIZING_PAUSE = 1 / 4
+
+
 class FleetManager:
     """Runs while we lead; remembers nothing that a new leader would need."""
 
@@ -160,49 +165,64 @@
             self.announcing = False
 
     async def _size_loop(self) -> None:
+        """Size the fleet when something has changed, and at least every half report interval."""
+        pause_s = self.platform.report_s * SIZING_PAUSE
         while True:
-            await asyncio.sleep(self.platform.report_s / 4)
+            await asyncio.sleep(pause_s)
             try:
-                await asyncio.wait_for(self._current.changed.wait(), self.platform.report_s / 4)
+                await asyncio.wait_for(self._current.changed.wait(), self.platform.report_s * SIZING_PAUSE)
             except TimeoutError:
                 pass
             self._current.changed.clear()
+            began = self.clock()
             term = self._current.to_enforce
-            if term is None:
-                continue
-            now = self.clock()
-            for name in term.cancellations.machines_to_fence():
-                self._fence(term, term.known_machine(name, now))
-            if self._current.to_decide is None or not term.cluster.types:
-                continue
-            for name in term.reachability.never_reported(now):
-                self._return_machine(term, term.known_machine(name, now), "not heard of")
-            if now < term.pacing.place_from:
-                continue
-            plan = term.plan_rentals(now)
-            if log.isEnabledFor(logging.DEBUG):
-                log.debug("fleet %s", term.summary())
-            for machine in term.surplus(plan, now):
-                self._return_machine(term, machine, f"{machine.state.value}, surplus")
-            thin = term.consolidation_candidate(now) if not plan.rentals else None
-            self._metrics.spent("sizing", self.clock() - now)
-            if thin is not None:
-                term.drains.drain(thin, "its replicas fit elsewhere")
-                self._current.wake_writer()
-            # Requests that wait for the cloud's rate would be many small ones: let the need add up instead.
-            waiting = len(term.rentals.unsettled)
-            if plan.rentals and waiting < max(1.0, self.platform.cloud_rps):
-                log.info("renting %s", plan.rentals)
-                term.rentals.rent(plan)
-                self._current.wake_writer()
-            silent_s = now - self._reports.heard_at
-            if (
-                term.cluster.machines
-                and silent_s > self.platform.lease_s * self.tuning.no_reports
-                and any(machine.report is not None for machine in term.cluster.machines.values())
-            ):
-                self._reports.heard_at = now
-                self._current.election.ask_resign("no worker reports to us")
+            if term is not None:
+                self._size(term, began)
+            spent = self.clock() - began
+            self._metrics.spent("sizing", spent)
+            # Sizing can wait, reports cannot: on a small share of a processor it is done less often.
+            earned_s = spent / (self.platform.core_share * self.tuning.effort)
+            pause_s = max(self.platform.report_s * SIZING_PAUSE, min(earned_s, self.platform.report_s))
+
+    def _size(self, term: Term, now: float) -> None:
+        """Return machines that are not to be kept, and rent those that are needed."""
+        for name in term.cancellations.machines_to_fence():
+            self._fence(term, term.known_machine(name, now))
+        if self._current.to_decide is None or not term.cluster.types:
+            return
+        for name in term.reachability.never_reported(now):
+            self._return_machine(term, term.known_machine(name, now), "not heard of")
+        if now < term.pacing.place_from:
+            return
+        silence = term.reachability.silence(now)
+        plan = term.plan_rentals(now, silence)
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("fleet %s", term.summary())
+        for machine in term.surplus(plan, now, silence):
+            self._return_machine(term, machine, f"{machine.state.value}, surplus")
+        self._consolidate(term, plan, now)
+        # Requests that wait for the cloud's rate would be many small ones: let the need add up instead.
+        if plan.rentals and len(term.rentals.unsettled) < max(1.0, self.platform.cloud_rps):
+            log.info("renting %s", plan.rentals)
+            term.rentals.rent(plan)
+            self._current.wake_writer()
+        self._check_reports(term, now)
+
+    def _consolidate(self, term: Term, plan: Plan, now: float) -> None:
+        """Drain a machine whose replicas fit elsewhere, unless there is too little room as it is."""
+        machine = term.consolidation_candidate(now) if not plan.rentals else None
+        if machine is not None:
+            term.drains.drain(machine, "its replicas fit elsewhere")
+            self._current.wake_writer()
+
+    def _check_reports(self, term: Term, now: float) -> None:
+        """Step down if no worker reaches us, although some did in this term."""
+        silent_s = now - self._reports.heard_at
+        if silent_s <= self.platform.lease_s * self.tuning.no_reports:
+            return
+        if any(machine.report is not None for machine in term.cluster.machines.values()):
+            self._reports.heard_at = now
+            self._current.election.ask_resign("no worker reports to us")
 
     def _fence(self, term: Term, machine: Machine) -> None:
         """Have the cloud end a machine that keeps a cancelled task; no new decision, so also while unsure."""
--- a/driftcleat/fleet/silence.py
+++ b/driftcleat/fleet/silence.py
@@ -22,13 +22,21 @@
 
     def count(self, zone: str, silent_s: float) -> None:
         """Count a machine."""
+        self.count_all(zone, int(silent_s > self.counted_s), 1)
+
+    @property
+    def counted_s(self) -> float:
+        """Return how long a machine that counts has been silent: less than what it is given up for, since those that
+        fell silent a little later than the first belong to them."""
+        return self.alone_s / 2
+
+    def count_all(self, zone: str, silent: int, known: int) -> None:
+        """Count machines of which so many are silent."""
         row = self.zones.setdefault(zone, [0, 0])
-        # Those that fell silent a little later than the first belong to them.
-        silent = silent_s > self.alone_s / 2
         row[0] += silent
-        row[1] += 1
+        row[1] += known
         self.silent += silent
-        self.known += 1
+        self.known += known
 
     def remember(self, until: dict[str | None, float], now: float) -> None:
         """Let what holds now hold for a while longer: those that come back do not all come at once.
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -33,6 +33,9 @@
     # How many of the tasks one zone may hold; None: all.
     per_zone: int | None = None
 
+    # What a task costs an hour, once it was worked out.
+    _cost: float | None = None
+
     def __post_init__(self) -> None:
         # Guards against taking the size of one job as the limit for all that are expected of its class: the rest
         # was then rented in another zone, at any price.
@@ -46,15 +49,17 @@
 
     def cost(self, types: dict[str, MachineType]) -> float:
         """Return what a task costs an hour on the type that suits it best, if that is filled up."""
-        spec = self.spec
-        return min(
-            (
-                kind.price * share(spec, kind.cpus, kind.gpus, kind.memory_gb)
-                for kind in types.values()
-                if spec.types is None or kind.name in spec.types
-            ),
-            default=0.0,
-        )
+        if self._cost is None:
+            spec = self.spec
+            self._cost = min(
+                (
+                    kind.price * share(spec, kind.cpus, kind.gpus, kind.memory_gb)
+                    for kind in types.values()
+                    if spec.types is None or kind.name in spec.types
+                ),
+                default=0.0,
+            )
+        return self._cost
 
 
 @dataclass(slots=True)
@@ -65,23 +70,36 @@
     used: set[str]
 
 
+GroupKey = tuple[str, str, bool, bool, float, float, float, str]
+# Amounts that differ by less are alike.
+ALIKE_DIGITS = 4
+
+
 class CandidatePool:
     """Candidates that are alike lie in one group: a fleet of hundreds has a few dozen kinds."""
 
-    def __init__(self, candidates: Iterable[Candidate]) -> None:
-        self.groups: dict[tuple[object, ...], tuple[Candidate, list[str]]] = {}
+    def __init__(self, candidates: Iterable[Candidate] = ()) -> None:
+        self.groups: dict[GroupKey, tuple[Candidate, list[str]]] = {}
         for candidate in candidates:
             self._add(candidate, [candidate.name])
 
+    def add(self, key: GroupKey, name: str, make: Callable[[], Candidate]) -> None:
+        """Count a machine in; a candidate is made only of the first of each group."""
+        group = self.groups.get(key)
+        if group is None:
+            self.groups[key] = (make(), [name])
+        else:
+            group[1].append(name)
+
     def _add(self, candidate: Candidate, names: list[str]) -> None:
         key = (
             candidate.type,
             candidate.zone,
             candidate.spot,
             candidate.busy,
-            round(candidate.cpus, 4),
-            round(candidate.gpus, 4),
-            round(candidate.memory_gb, 4),
+            round(candidate.cpus, ALIKE_DIGITS),
+            round(candidate.gpus, ALIKE_DIGITS),
+            round(candidate.memory_gb, ALIKE_DIGITS),
             candidate.name if candidate.failed_jobs else "",
         )
         group = self.groups.get(key)
@@ -104,13 +122,7 @@
         """Put a demand into machines in use first, where a task costs least, the tightest first: what stays empty
         can be returned."""
         spec = demand.spec
-        fitting = [
-            (not candidate.busy, candidate.slow_cost(spec), candidate.away, candidate.gpus, candidate.cpus, key)
-            for key, (candidate, names) in self.groups.items()
-            if names and candidate.fits(spec) and _may_use(demand, candidate)
-        ]
-        fitting.sort(key=lambda row: row[:5])
-        for *_, key in fitting:
+        for key in self._fitting(demand):
             if demand.tasks <= 0:
                 return
             candidate, names = self.groups[key]
@@ -129,10 +141,27 @@
                     self._add(smaller, taken)
             demand.took(candidate.zone, whole * each + rest)
 
+    def _fitting(self, demand: Demand) -> list[GroupKey]:
+        """Return the groups that a demand may use, the best first."""
+        spec = demand.spec
+        # A task costs the same on all machines of one type and kind.
+        costs: dict[tuple[str, bool], float] = {}
+        fitting: list[tuple[bool, float, int, float, float, GroupKey]] = []
+        for key, (candidate, names) in self.groups.items():
+            if not names or not candidate.fits(spec) or not _may_use(demand, candidate):
+                continue
+            kind = (candidate.type, candidate.spot)
+            cost = costs.get(kind)
+            if cost is None:
+                cost = costs[kind] = candidate.slow_cost(spec)
+            fitting.append((not candidate.busy, cost, candidate.away, candidate.gpus, candidate.cpus, key))
+        fitting.sort(key=lambda row: row[:5])
+        return [row[5] for row in fitting]
+
 
 def plan_fleet(
     demands: Iterable[Demand],
-    candidates: Iterable[Candidate],
+    candidates: Iterable[Candidate] | CandidatePool,
     types: dict[str, MachineType],
     refused: Callable[[Offer], bool],
     most: int,
@@ -141,7 +170,7 @@
     """Pack demands into present and booting machines first, then into the new machines they fill best."""
     plan = Plan({}, set())
     left: list[Demand] = []
-    pool = CandidatePool(candidates)
+    pool = candidates if isinstance(candidates, CandidatePool) else CandidatePool(candidates)
     for demand in demands:
         if demand.spec.one_zone:
             demand.only = _one_zone(demand, pool, types, refused, away)
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -94,6 +94,7 @@
     headroom: float = _ratio(
         "fleet", 0.5, 0.0, 10.0, "room kept for arrivals, of what is expected while a machine boots"
     )
+    effort: float = _ratio("fleet", 0.15, 0.01, 1.0, "part of the processor's share that sizing may take")
     slack: float = _ratio("fleet", 0.3, 0.0, 2.0, "room rented beyond what waiting services of the highest rank need")
     consolidate: float = _ratio(
         "fleet",
--- a/driftcleat/term/demand.py
+++ b/driftcleat/term/demand.py
@@ -1,10 +1,11 @@
 """Demand: which room queued and expected work needs, and which rentals that comes to."""
 
 import logging
+from functools import partial
 
 from driftcleat.fleet.arrivals import Arrivals
 from driftcleat.fleet.silence import Silence
-from driftcleat.fleet.sizing import Demand, Plan, plan_fleet
+from driftcleat.fleet.sizing import ALIKE_DIGITS, CandidatePool, Demand, Plan, plan_fleet
 from driftcleat.model import Job, JobState, Machine, MachineState
 from driftcleat.placement.candidates import SLACK, Candidate, capacity, fits, latency_sensitive
 from driftcleat.placement.engine import Limits
@@ -16,10 +17,12 @@
 from .estimates import fetch_s
 from .queue import JobQueue
 from .reachability import Reachability
-from .rentals import Rentals
+from .rentals import OpenRental, Rentals
 
 log = logging.getLogger(__name__)
 
+Shape = tuple[bool, int, float, float, float, tuple[str, ...] | None, str | None, bool, bool]
+
 # The most machines that one plan rents.
 MOST_RENTED = 64
 # A job that failed so often gets no machine of its own.
@@ -43,9 +46,8 @@
         self._queue, self._reachability = queue, reachability
         self._rentals, self._arrivals = rentals, arrivals
 
-    def plan(self, now: float) -> Plan:
+    def plan(self, now: float, silence: Silence) -> Plan:
         """Return what to rent for queued and expected work, and which machines that work would use."""
-        silence = self._reachability.silence(now)
         demands = self._queued()
         demands.extend(self._presumed_lost(silence, now))
         demands.extend(self._expected(now))
@@ -64,9 +66,11 @@
 
     def _queued(self) -> list[Demand]:
         """Return what waits in the queue and its team may still take."""
+        queued = self._queue.queued()
         limits: dict[str, Limits] = {}
         demands: list[Demand] = []
-        for job in self._queue.queued().jobs:
+        alike: dict[Shape, Demand] = {}
+        for job in queued.jobs:
             if self._cluster.failures.get(job.id, 0) >= MOST_FAILURES:
                 continue
             limit = limits.setdefault(job.spec.team, self._queue.limits(job.spec.team))
@@ -77,9 +81,39 @@
             if latency_sensitive(job.spec):
                 # Machines boot at their own pace: with none to spare, the last replicas wait for the slowest.
                 wanted += round(wanted * self._tuning.slack)
-            demands.append(Demand(job.spec, wanted, job.zone_counts()))
+            shape = self._shape(job, job.id in queued.order.guaranteed)
+            known = alike.get(shape) if shape is not None else None
+            if known is not None:
+                known.tasks += wanted
+                continue
+            demand = Demand(job.spec, wanted, job.zone_counts())
+            demands.append(demand)
+            if shape is not None:
+                alike[shape] = demand
         return demands
 
+    def _shape(self, job: Job, guaranteed: bool) -> Shape | None:
+        """Return what jobs have in common that are sized as one; None for one whose tasks depend on one another's
+        zones, or that failed somewhere.
+
+        The work of a round then grows with the kinds of jobs that wait, not with the jobs.
+        """
+        spec = job.spec
+        bound = spec.tasks > 1 and (spec.one_zone or spec.spread)
+        if bound or job.id in self._cluster.failures:
+            return None
+        return (
+            guaranteed,
+            job.level,
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            spec.types,
+            spec.zone,
+            spec.spot,
+            latency_sensitive(spec),
+        )
+
     @staticmethod
     def _wanted(job: Job, limit: Limits) -> int:
         """Return for how many of a job's tasks its team's limit leaves room."""
@@ -87,32 +121,59 @@
             return job.queued if limit.fits(job.spec, job.queued) else 0
         return capacity(job.spec, limit.cpus, limit.gpus, INFINITE, job.queued)
 
-    def _free(self) -> list[Candidate]:
+    def _free(self) -> CandidatePool:
         """Return what is free on machines that are up or boot, and on those that were asked for."""
-        found = [
-            _sizing_candidate(machine, self._platform)
-            for machine in self._cluster.machines.values()
-            if machine.state in (MachineState.UP, MachineState.BOOTING)
-        ]
-        for rental in self._rentals.unsettled:
-            record = rental.record
-            kind = self._cluster.types.get(record.type)
-            if kind is None:
+        pool = CandidatePool()
+        for machine in self._cluster.machines.values():
+            kind = machine.type
+            if kind is None or machine.state not in (MachineState.UP, MachineState.BOOTING):
+                continue
+            cpus, gpus = kind.cpus - machine.cpus, kind.gpus - machine.gpus
+            if gpus + cpus <= SLACK:
                 continue
-            for number in range(record.count):
-                found.append(
-                    Candidate(
-                        f"{rental.name}+{number}",
-                        kind.name,
-                        record.zone,
-                        record.spot,
-                        kind.cpus,
-                        kind.gpus,
-                        kind.memory_gb,
-                        away=self._platform.away(record.zone),
-                    )
-                )
-        return [candidate for candidate in found if candidate is not None and candidate.gpus + candidate.cpus > SLACK]
+            key = (
+                kind.name,
+                machine.zone,
+                machine.spot,
+                bool(machine.tasks),
+                round(cpus, ALIKE_DIGITS),
+                round(gpus, ALIKE_DIGITS),
+                round(kind.memory_gb - machine.memory_gb, ALIKE_DIGITS),
+                machine.name if machine.failed_jobs else "",
+            )
+            pool.add(key, machine.name, partial(_sizing_candidate, machine, kind, self._platform))
+        for rental in self._rentals.unsettled:
+            self._add_rental(pool, rental)
+        return pool
+
+    def _add_rental(self, pool: CandidatePool, rental: OpenRental) -> None:
+        """Count in the machines of a rental request that is not answered."""
+        record = rental.record
+        kind = self._cluster.types.get(record.type)
+        if kind is None:
+            return
+        key = (
+            kind.name,
+            record.zone,
+            record.spot,
+            False,
+            round(kind.cpus, ALIKE_DIGITS),
+            round(kind.gpus, ALIKE_DIGITS),
+            round(kind.memory_gb, ALIKE_DIGITS),
+            "",
+        )
+        asked = Candidate(
+            f"{rental.name}+0",
+            kind.name,
+            record.zone,
+            record.spot,
+            kind.cpus,
+            kind.gpus,
+            kind.memory_gb,
+            away=self._platform.away(record.zone),
+        )
+        for number in range(record.count):
+            pool.add(key, f"{rental.name}+{number}", lambda: asked)
 
     def _presumed_lost(self, silence: Silence, now: float) -> list[Demand]:
         """Return the work of the two highest ranks on machines that fell silent with many others, whose leases must
@@ -174,11 +235,8 @@
         return all(ready_s + (run_s if kind == "finished" else 0.0) <= within_s for within_s, kind in aims)
 
 
-def _sizing_candidate(machine: Machine, platform: Platform) -> Candidate | None:
+def _sizing_candidate(machine: Machine, kind: MachineType, platform: Platform) -> Candidate:
     """Return a machine without its images: sizing does not look at them."""
-    kind = machine.type
-    if kind is None:
-        return None
     return Candidate(
         machine.name,
         kind.name,
--- a/driftcleat/term/reachability.py
+++ b/driftcleat/term/reachability.py
@@ -43,9 +43,19 @@
         """Return which machines are silent, by zone, as it looks now."""
         lease_s, tuning = self._platform.lease_s, self._tuning
         silence = Silence(lease_s * tuning.lost, lease_s * tuning.partitioned, tuning.correlated)
+        # Heard of since then, or the term is younger than that: not silent. By far the most are like that.
+        heard_since = now - silence.counted_s
+        silent: dict[str, int] = {}
+        known: dict[str, int] = {}
         for machine in self._cluster.machines.values():
-            if self.runs(machine):
-                silence.count(machine.zone, self.silent_s(machine, now))
+            if not self.runs(machine):
+                continue
+            known[machine.zone] = known.get(machine.zone, 0) + 1
+            heard = machine.report is not None and machine.heard_at >= heard_since
+            if not heard and self.silent_s(machine, now) > silence.counted_s:
+                silent[machine.zone] = silent.get(machine.zone, 0) + 1
+        for zone, count in known.items():
+            silence.count_all(zone, silent.get(zone, 0), count)
         for places in self._cluster.waiting.values():
             for place in places.values():
                 silence.count(place.zone, now - self._cluster.started_at)
--- a/driftcleat/term/surplus.py
+++ b/driftcleat/term/surplus.py
@@ -29,17 +29,18 @@
         self._platform, self._tuning, self._cluster = context.platform, context.tuning, context.cluster
         self._candidates, self._reachability = candidates, reachability
 
-    def find(self, plan: Plan, in_flight: set[str], now: float) -> list[Machine]:
+    def find(self, plan: Plan, in_flight: set[str], now: float, silence: Silence) -> list[Machine]:
         """Return machines that are to be returned: idle, drained, late or silent.
 
         Those `in_flight` change in the batch under way.
         """
         settled = now - self._cluster.started_at > self._platform.lease_s
-        silence = self._reachability.silence(now)
         fits_elsewhere = self._fitting_elsewhere(silence, now)
         blame_ourselves = self._many_unresponsive(now)
         out: list[Machine] = []
         for machine in self._cluster.machines.values():
+            if self._plainly_at_work(machine, silence, now):
+                continue
             if machine.state in (MachineState.RETURNING, MachineState.GONE) or machine.name in in_flight:
                 continue
             if machine.state is MachineState.BOOTING and machine.running_since is None:
@@ -59,6 +60,17 @@
                 out.append(machine)
         return out
 
+    @staticmethod
+    def _plainly_at_work(machine: Machine, silence: Silence, now: float) -> bool:
+        """Whether a machine is heard, acknowledges us and has work: most are like that, most of the time."""
+        return (
+            machine.state is MachineState.UP
+            and bool(machine.tasks)
+            and not machine.unacknowledged
+            and machine.report is not None
+            and now - machine.heard_at <= silence.alone_s
+        )
+
     def _boot_s(self, machine: Machine) -> float:
         return machine.type.boot_s if machine.type is not None else self._platform.lease_s
 
@@ -71,13 +83,14 @@
 
     def _many_unresponsive(self, now: float) -> bool:
         """Whether so many machines acknowledge nothing that it is more likely we who are too slow."""
-        up = [
-            machine
-            for machine in self._cluster.machines.values()
-            if machine.state in (MachineState.UP, MachineState.DRAINING)
-        ]
-        unresponsive = sum(self._reachability.is_unresponsive(machine, now) for machine in up)
-        return unresponsive > max(UNRESPONSIVE_FEW, len(up) // UNRESPONSIVE_SHARE)
+        up = unresponsive = 0
+        for machine in self._cluster.machines.values():
+            if machine.state not in (MachineState.UP, MachineState.DRAINING):
+                continue
+            up += 1
+            if machine.unacknowledged and self._reachability.is_unresponsive(machine, now):
+                unresponsive += 1
+        return unresponsive > max(UNRESPONSIVE_FEW, up // UNRESPONSIVE_SHARE)
 
     def _fitting_elsewhere(self, silence: Silence, now: float) -> set[str]:
         """Return machines that fell silent with many others and whose work finds room, images and all, on machines
--- a/driftcleat/term/term.py
+++ b/driftcleat/term/term.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from driftcleat.fleet.arrivals import Arrivals
+from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Plan
 from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState
 from driftcleat.settings import Platform, Tuning
@@ -236,13 +237,16 @@
 
     # -- the fleet ----------------------------------------------------------------------------------------
 
-    def plan_rentals(self, now: float) -> Plan:
-        """Return what to rent for queued and expected work, and which machines that work would use."""
-        return self._demand.plan(now)
+    def plan_rentals(self, now: float, silence: Silence | None = None) -> Plan:
+        """Return what to rent for queued and expected work, and which machines that work would use.
 
-    def surplus(self, plan: Plan, now: float) -> list[Machine]:
+        `silence`: what `reachability` has just said, if it was asked.
+        """
+        return self._demand.plan(now, silence or self.reachability.silence(now))
+
+    def surplus(self, plan: Plan, now: float, silence: Silence | None = None) -> list[Machine]:
         """Return machines that are to be returned."""
-        return self._surplus.find(plan, self._in_flight, now)
+        return self._surplus.find(plan, self._in_flight, now, silence or self.reachability.silence(now))
 
     def consolidation_candidate(self, now: float) -> Machine | None:
         """Return a machine that is worth draining, since its few replicas fit elsewhere."""
--- a/tools/load.py
+++ b/tools/load.py
@@ -1,6 +1,6 @@
 """Load test: real controller processes at a fleet's full size, everything around them stood in for.
 
-    python -m tools.load [hki | kandla | hki-half-more | kandla-half-more] [--machines N] [--jobs N] [--seconds S]
+    python -m tools.load [hki | kandla | hki-lean | kandla-lean][-half-more] [--machines N] [--jobs N] [--seconds S]
 
 Every machine keeps one connection open, as workers do, and each controller has the platform's descriptor limit set
 on its process. Half-way a third of the machines hang and come back, then all controllers are restarted at once.
@@ -53,6 +53,8 @@
 SIZES = {
     "hki": Size(619, 3.0, 17.0, 42.0, 200.0, 50.0, 8.0, 24, 2.0, 0.252, 151.0, 924),
     "kandla": Size(591, 2.5, 14.0, 34.0, 300.0, 120.0, 16.0, 12, 6.0, 0.468, 201.0, 1571),
+    "hki-lean": Size(692, 3.0, 17.0, 42.0, 200.0, 50.0, 8.0, 24, 2.0, 0.086, 98.0, 1000),
+    "kandla-lean": Size(552, 2.5, 14.0, 34.0, 250.0, 100.0, 16.0, 12, 5.0, 0.13, 122.0, 1500),
 }
 SIZES |= {
     f"{name}-half-more": dataclasses.replace(size, machines=size.machines * 3 // 2) for name, size in SIZES.items()
