--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -16,12 +16,12 @@
 from driftcleat.model import JobState
 from driftcleat.peers.client import PeerClient, PeerError
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import Refused, StoreClient, StoreError
+from driftcleat.store.client import RefusedError, StoreClient, StoreError
 from driftcleat.store.records import ENDED, JOBS, EndedRecord, load_head
 from driftcleat.term import Term, Ticket, never_fits
 from driftcleat.wire import peers as peer_messages
 from driftcleat.wire.users import (
-    BadField,
+    BadFieldError,
     JobView,
     Kind,
     Submission,
@@ -124,7 +124,7 @@
         try:
             raw = parse_object(body)
             job_id = parse_id(raw)
-        except BadField as error:
+        except BadFieldError as error:
             return Answer.error(400, str(error), error.field)
         if not self.current.holds:
             return await self._pass_on("POST", path, body, forwarded, deadline)
@@ -142,7 +142,7 @@
             return Answer(200, wire.encode(JobView(view.id, view.state)))
         try:
             spec = parse_submission(raw)
-        except BadField as error:
+        except BadFieldError as error:
             return Answer.error(400, str(error), error.field)
         if not term.cluster.types:
             return self.unavailable("the machine types are not known yet")
@@ -262,7 +262,7 @@
                 continue
             seen.add(need)
             if len(seen) > MOST_READS:
-                raise Refused("too many records to read")
+                raise RefusedError("too many records to read")
             item = await self.store.get(JOBS + need, self.most_wait_s)
             if item is not None:
                 job = load_head(item)
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from driftcleat import wire
+from driftcleat.errors import DriftcleatError
 from driftcleat.store.client import TokenBucket
 from driftcleat.wire import cloud as messages
 
@@ -16,11 +17,11 @@
 T = TypeVar("T")
 
 
-class CloudError(Exception):
+class CloudError(DriftcleatError):
     """The cloud gave no usable answer; the request may still be carried out."""
 
 
-class NoCapacity(CloudError):
+class NoCapacityError(CloudError):
     """None available of this type, zone and kind."""
 
 
@@ -44,7 +45,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise CloudError(f"no answer: {error!r}") from None
         if status == 503 and b"no capacity" in data:
-            raise NoCapacity(data.decode("utf-8", "replace"))
+            raise NoCapacityError(data.decode("utf-8", "replace"))
         if status != 200:
             raise CloudError(f"status {status}")
         try:
--- a/driftcleat/fleet/manager.py
+++ b/driftcleat/fleet/manager.py
@@ -7,7 +7,7 @@
 from driftcleat import wire
 from driftcleat.api.reports import ReportApi
 from driftcleat.background import Background
-from driftcleat.fleet.cloud import CloudClient, CloudError, NoCapacity
+from driftcleat.fleet.cloud import CloudClient, CloudError, NoCapacityError
 from driftcleat.fleet.sizing import Plan
 from driftcleat.leadership import CurrentTerm
 from driftcleat.metrics import Metrics
@@ -21,6 +21,8 @@
 log = logging.getLogger(__name__)
 
 
+# States of a machine in the cloud's list.
+RUNNING, FAILED = "running", "failed"
 # The least pause between two rounds of sizing, and the longest wait for a change before one, of the report interval.
 SIZING_PAUSE = 1 / 4
 
@@ -106,27 +108,15 @@
             await asyncio.sleep(self.platform.report_s / 4)
 
     def _take_list(self, term: Term, machines: list[Listed]) -> None:
+        """Take in the cloud's list: adopt what is new, give up what failed or is missing."""
         now = self.clock()
-        names: set[str] = set()
+        names = {entry.name for entry in machines}
         unaware: list[Machine] = []
         for entry in machines:
-            names.add(entry.name)
             self.missing.pop(entry.name, None)
-            if entry.name in term.cluster.gone:
-                continue
-            machine = term.cluster.machines.get(entry.name)
-            if machine is None:
-                log.info("adopting machine %s from the list", entry.name)
-                machine = term.cluster.adopt(entry.name, entry.type, entry.zone, entry.spot, entry.addr, now)
-                machine.rented_at = now - entry.age_s
-            if not machine.addr:
-                machine.addr = entry.addr
-            if entry.state == "failed":
-                self._return_machine(term, machine, "failed")
-            elif entry.state == "running":
-                if machine.running_since is None:
-                    machine.running_since = now
-                if machine.report is None and machine.addr:
+            if entry.name not in term.cluster.gone:
+                machine = self._take_entry(term, entry, now)
+                if machine.report is None and machine.addr and entry.state == RUNNING:
                     unaware.append(machine)
         if unaware and not self.announcing:
             self._background.spawn(self._announce_token(term, unaware))
@@ -136,6 +126,25 @@
         if now - term.cluster.started_at > self.platform.lease_s + self.platform.list_lag_s * 2:
             for name in [name for name in term.cluster.known_images if name not in names]:
                 term.housekeeping.forget_images(name)
+        self._give_up_missing(term, names, now)
+
+    def _take_entry(self, term: Term, entry: Listed, now: float) -> Machine:
+        """Take in one machine of the list."""
+        machine = term.cluster.machines.get(entry.name)
+        if machine is None:
+            log.info("adopting machine %s from the list", entry.name)
+            machine = term.cluster.adopt(entry.name, entry.type, entry.zone, entry.spot, entry.addr, now)
+            machine.rented_at = now - entry.age_s
+        if not machine.addr:
+            machine.addr = entry.addr
+        if entry.state == FAILED:
+            self._return_machine(term, machine, "failed")
+        elif entry.state == RUNNING and machine.running_since is None:
+            machine.running_since = now
+        return machine
+
+    def _give_up_missing(self, term: Term, names: set[str], now: float) -> None:
+        """Return machines that never came up and that the list has lacked for long."""
         for machine in term.cluster.machines.values():
             if machine.name in names or machine.state is not MachineState.BOOTING:
                 continue
@@ -255,7 +264,7 @@
         request = RentRequest(rental.name, record.type, record.zone, record.spot, record.count)
         try:
             machines = await self._cloud.rent(request)
-        except NoCapacity:
+        except NoCapacityError:
             machines = ()
             term.rentals.note_refusal((record.type, record.zone, record.spot), self.clock())
         except CloudError as error:
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -11,7 +11,7 @@
 
 from driftcleat import wire
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import Conflict, NoLease, StoreClient, StoreError
+from driftcleat.store.client import ConflictError, NoLeaseError, StoreClient, StoreError
 from driftcleat.store.records import LEADER
 from driftcleat.wire import state as messages
 
@@ -327,7 +327,7 @@
         txn = messages.Txn([messages.Condition(LEADER, 0)], [messages.Put(LEADER, value, lease)])
         try:
             token = await self.store.txn(txn)
-        except Conflict:
+        except ConflictError:
             self._step_down("another was first")
             await self._drop_lease(lease)
             return
@@ -371,7 +371,7 @@
     async def _renew(self) -> None:
         lease = self.lease.lease
         if lease is None:
-            raise NoLease("none held")
+            raise NoLeaseError("none held")
         sent_at = self.clock()
         await self.store.renew(lease, self.ttl_s * 0.5)
         self.lease.renewed(sent_at)
@@ -390,7 +390,7 @@
             await self._renew()
             if self.role is Role.UNSURE:
                 self.change(Role.LEADING)
-        except NoLease:
+        except NoLeaseError:
             self._step_down("the lease has ended")
             return
         except StoreError as error:
--- a/driftcleat/model/__init__.py
+++ b/driftcleat/model/__init__.py
@@ -2,13 +2,13 @@
 
 from .batch import Batch
 from .cluster import Cluster
-from .jobs import IllegalMove, Job, JobState, Place, TaskState, change_job, change_task
+from .jobs import IllegalMoveError, Job, JobState, Place, TaskState, change_job, change_task
 from .machines import Machine, MachineState, change_machine
 
 __all__ = [
     "Batch",
     "Cluster",
-    "IllegalMove",
+    "IllegalMoveError",
     "Job",
     "JobState",
     "Machine",
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -385,6 +385,19 @@
                 job.chunk_versions[chunk] = revision
             self.jobs[job_id] = job
         self._commit_needs(batch, now)
+        self._commit_moves(batch, now)
+        for job_id in batch.heads:
+            if batch.jobs[job_id].state in (JobState.DONE, JobState.GONE):
+                del self.jobs[job_id]
+                self.retry_at.pop(job_id, None)
+                self.failures.pop(job_id, None)
+        for name in {place.machine for _, _, old, new in batch.moves for place in (old, new) if place}:
+            machine = self.machines.get(name)
+            if machine is not None and machine.state is MachineState.GONE and not machine.tasks:
+                del self.machines[name]
+
+    def _commit_moves(self, batch: Batch, now: float) -> None:
+        """Count tasks where they are now, on their machines and in their team's usage."""
         for job_id, index, old, new in batch.moves:
             job = batch.jobs[job_id]
             usage = self.usage.setdefault(job.spec.team, Usage())
@@ -407,15 +420,6 @@
                 machine.drop(key, job.spec, now, self.image_of)
             else:
                 machine.add(key, new, job.spec)
-        for job_id in batch.heads:
-            if batch.jobs[job_id].state in (JobState.DONE, JobState.GONE):
-                del self.jobs[job_id]
-                self.retry_at.pop(job_id, None)
-                self.failures.pop(job_id, None)
-        for name in {place.machine for _, _, old, new in batch.moves for place in (old, new) if place}:
-            machine = self.machines.get(name)
-            if machine is not None and machine.state is MachineState.GONE and not machine.tasks:
-                del self.machines[name]
 
     def _commit_needs(self, batch: Batch, now: float) -> None:
         """Bring the graph up to date: first who came, then what ended."""
--- a/driftcleat/model/jobs.py
+++ b/driftcleat/model/jobs.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
 
+from driftcleat.errors import DriftcleatError
 from driftcleat.wire.users import Kind, Submission
 
 from .needs import NO_DEADLINE
 
 
-class IllegalMove(Exception):
+class IllegalMoveError(DriftcleatError):
     """A state change that the state machine does not have."""
 
 
@@ -86,7 +87,7 @@
         self.split = 0
         # The rank's level, or that of a more urgent job that needs this one.
         self.level = spec.rank.level
-        # When it has to start (time of day) for its deadline and for those of jobs that need it.
+        # When it has to start (time of day) for the deadlines of jobs that need it.
         self.start_by = NO_DEADLINE
 
     def copy(self) -> "Job":
@@ -131,11 +132,11 @@
 def change_job(job: Job, to: JobState) -> None:
     """Move a job to another state; the only place that does."""
     if (job.state, to) not in _JOB_MOVES:
-        raise IllegalMove(f"{job.id}: {job.state.value} -> {to.value}")
+        raise IllegalMoveError(f"{job.id}: {job.state.value} -> {to.value}")
     if to is JobState.DONE and job.done != job.spec.tasks:
-        raise IllegalMove(f"{job.id}: done with {job.done} of {job.spec.tasks} tasks")
+        raise IllegalMoveError(f"{job.id}: done with {job.done} of {job.spec.tasks} tasks")
     if to is JobState.GONE and job.places:
-        raise IllegalMove(f"{job.id}: gone with tasks still placed")
+        raise IllegalMoveError(f"{job.id}: gone with tasks still placed")
     job.state = to
 
 
@@ -143,15 +144,15 @@
     """Move a task to another state; the only place that does. PLACED to PLACED only adds a stop."""
     now = TaskState(job.status[index])
     if (now, to) not in _TASK_MOVES:
-        raise IllegalMove(f"{job.id}/{index}: {now.name} -> {to.name}")
+        raise IllegalMoveError(f"{job.id}/{index}: {now.name} -> {to.name}")
     if to is TaskState.PLACED:
         if place is None:
-            raise IllegalMove(f"{job.id}/{index}: no place given")
+            raise IllegalMoveError(f"{job.id}/{index}: no place given")
         old = job.places.get(index)
         if old is None and job.state is not JobState.ACTIVE:
-            raise IllegalMove(f"{job.id}/{index}: placed although the job is {job.state.value}")
+            raise IllegalMoveError(f"{job.id}/{index}: placed although the job is {job.state.value}")
         if old is not None and (old.machine, old.attempt) != (place.machine, place.attempt):
-            raise IllegalMove(f"{job.id}/{index}: moved without leaving {old.machine}")
+            raise IllegalMoveError(f"{job.id}/{index}: moved without leaving {old.machine}")
         job.places[index] = place
     else:
         del job.places[index]
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -8,7 +8,7 @@
 from driftcleat.wire.users import Submission
 from driftcleat.wire.workers import Report
 
-from .jobs import IllegalMove, Place
+from .jobs import IllegalMoveError, Place
 
 
 class MachineState(StrEnum):
@@ -143,5 +143,5 @@
     if machine.state is to:
         return
     if (machine.state, to) not in _MOVES:
-        raise IllegalMove(f"{machine.name}: {machine.state.value} -> {to.value}")
+        raise IllegalMoveError(f"{machine.name}: {machine.state.value} -> {to.value}")
     machine.state = to
--- a/driftcleat/peers/client.py
+++ b/driftcleat/peers/client.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from driftcleat import wire
+from driftcleat.errors import DriftcleatError
 from driftcleat.settings import Platform
 from driftcleat.store.records import DATA_VERSION
 from driftcleat.wire import peers as messages
@@ -12,7 +13,7 @@
 PATH = "/peer"
 
 
-class PeerError(Exception):
+class PeerError(DriftcleatError):
     """A controller that gave no usable answer; what was asked may still be carried out."""
 
 
--- a/driftcleat/placement/__init__.py
+++ b/driftcleat/placement/__init__.py
@@ -3,4 +3,4 @@
 from .candidates import Candidate, allowed, fits
 from .engine import PlacementRound, PreemptionPlan
 
-__all__ = ["PlacementRound", "PreemptionPlan", "Candidate", "allowed", "fits"]
+__all__ = ["Candidate", "PlacementRound", "PreemptionPlan", "allowed", "fits"]
--- a/driftcleat/placement/order.py
+++ b/driftcleat/placement/order.py
@@ -12,8 +12,8 @@
 class Order:
     """Guarantees first, then rank (also that of a job which needs this one), then age.
 
-    A job whose deadline leaves it no more than `allowance_s` until it has to start, counting the deadlines of those
-    that need it, goes as if it had been submitted earlier by what it lacks.
+    A job that has to start within `allowance_s` for the deadline of one that needs it goes as if it had been
+    submitted earlier by what it lacks.
     """
 
     guaranteed: Set[str] = field(default_factory=frozenset)
--- a/driftcleat/rebuild.py
+++ b/driftcleat/rebuild.py
@@ -8,7 +8,7 @@
 from driftcleat import wire
 from driftcleat.model import Cluster, Job
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import Malformed, StoreClient
+from driftcleat.store.client import MalformedError, StoreClient
 from driftcleat.store.records import (
     BATCH,
     CHUNKS,
@@ -71,7 +71,7 @@
     )
     written = wire.decode(bytes(version.value), int) if version is not None else 1
     if written > DATA_VERSION:
-        raise Malformed(f"the records are of data version {written}, this program knows {DATA_VERSION}")
+        raise MalformedError(f"the records are of data version {written}, this program knows {DATA_VERSION}")
     jobs, orphans = load_jobs(heads, chunks)
     ended = await _ended_needs(store, jobs)
     layout = new_layout(platform)
--- a/driftcleat/settings/platform.py
+++ b/driftcleat/settings/platform.py
@@ -6,11 +6,13 @@
 from pathlib import Path
 from typing import Any
 
+from driftcleat.errors import DriftcleatError
+
 # With fewer descriptors the parts of the service would have to share them.
 LEAST_DESCRIPTORS = 128
 
 
-class SettingsError(Exception):
+class SettingsError(DriftcleatError):
     """A settings file that cannot be used; the text names file and key."""
 
 
--- a/driftcleat/store/__init__.py
+++ b/driftcleat/store/__init__.py
@@ -0,0 +1,1 @@
+"""The state service: its client, and how records lie in it."""
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from driftcleat import wire
+from driftcleat.errors import DriftcleatError
 from driftcleat.wire import state as messages
 
 log = logging.getLogger(__name__)
@@ -16,27 +17,27 @@
 T = TypeVar("T")
 
 
-class StoreError(Exception):
+class StoreError(DriftcleatError):
     """A request that the store did not answer as asked."""
 
 
-class Refused(StoreError):
+class RefusedError(StoreError):
     """The request was certainly not carried out (503, 429 or no connection)."""
 
 
-class Unknown(StoreError):
+class UnknownOutcomeError(StoreError):
     """Nobody can say yet whether the request was carried out."""
 
 
-class Malformed(StoreError):
+class MalformedError(StoreError):
     """The store calls the request wrong (400), or its answer is not one."""
 
 
-class Rejected(Malformed):
+class RejectedError(MalformedError):
     """The store calls the request wrong and has not carried it out."""
 
 
-class Conflict(StoreError):
+class ConflictError(StoreError):
     """A transaction whose conditions did not hold."""
 
     def __init__(self, failed: tuple[str, ...]) -> None:
@@ -44,7 +45,7 @@
         self.failed = failed
 
 
-class NoLease(StoreError):
+class NoLeaseError(StoreError):
     """The lease has ended."""
 
 
@@ -121,7 +122,7 @@
         if not urgent:
             while (delay := self.requests.delay(1)) > 0:
                 if most_wait_s is not None and delay > most_wait_s:
-                    raise Refused("too many requests wait for the store")
+                    raise RefusedError("too many requests wait for the store")
                 await asyncio.sleep(delay)
         self.requests.take(1)
         try:
@@ -130,22 +131,22 @@
             )
         except aiohttp.ClientConnectorError as error:
             self.refused_at = self.clock()
-            raise Refused(f"no connection: {error}") from None
+            raise RefusedError(f"no connection: {error}") from None
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.refused_at = self.clock()
-            raise Unknown(f"no answer: {error!r}") from None
+            raise UnknownOutcomeError(f"no answer: {error!r}") from None
         if status == 429:
-            raise Refused("too many requests")
+            raise RefusedError("too many requests")
         if status >= 500:
             self.refused_at = self.clock()
-            raise Refused(f"status {status}")
+            raise RefusedError(f"status {status}")
         if not watching:
             # A watch that was open before an outage may still end in it: that is no service.
             self.served_at = self.clock()
         if status == 400:
             if b"no such lease" in data:
-                raise NoLease("no such lease")
-            raise Rejected(str(self._bad(f"{method} {path}: {data[:200]!r}")))
+                raise NoLeaseError("no such lease")
+            raise RejectedError(str(self._bad(f"{method} {path}: {data[:200]!r}")))
         return status, data
 
     async def _exchange(
@@ -164,10 +165,10 @@
         ) as response:
             return response.status, await response.read()
 
-    def _bad(self, why: str) -> Malformed:
+    def _bad(self, why: str) -> MalformedError:
         self.malformed += 1
         log.warning("state service: %s", why)
-        return Malformed(why)
+        return MalformedError(why)
 
     def _expect(self, status: int, data: bytes, kind: type[T]) -> T:
         if status != 200:
@@ -178,7 +179,7 @@
             raise self._bad(str(error)) from None
 
     async def get(self, key: str, most_wait_s: float | None = None) -> messages.Item | None:
-        """Return a key, or None when it does not exist; `Refused` if its turn would come later than asked."""
+        """Return a key, or None when it does not exist; `RefusedError` if its turn would come later than asked."""
         status, data = await self._call("GET", f"/store/{key}", most_wait_s=most_wait_s)
         if status == 404:
             return None
@@ -216,7 +217,7 @@
         self.writes.take(changes)
         status, data = await self._call("POST", "/txn", body)
         if status == 409:
-            raise Conflict(self._expect(200, data, messages.TxnFailed).failed)
+            raise ConflictError(self._expect(200, data, messages.TxnFailed).failed)
         return self._expect(status, data, messages.TxnDone).revision
 
     async def grant(self, ttl_s: float) -> int:
@@ -226,10 +227,10 @@
         return self._expect(status, data, messages.LeaseAnswer).lease
 
     async def renew(self, lease: int, timeout_s: float) -> None:
-        """Give a lease its full time again; `NoLease` once it has ended."""
+        """Give a lease its full time again; `NoLeaseError` once it has ended."""
         status, _ = await self._call("POST", f"/leases/{lease}/renew", b"{}", timeout_s, urgent=True)
         if status == 404:
-            raise NoLease(f"lease {lease} has ended")
+            raise NoLeaseError(f"lease {lease} has ended")
         if status != 200:
             raise self._bad(f"renewal got status {status}")
 
@@ -246,17 +247,3 @@
         if status == 410:
             return None
         return self._expect(status, data, messages.WatchAnswer)
-
-
-__all__ = [
-    "TokenBucket",
-    "Conflict",
-    "Malformed",
-    "NoLease",
-    "Refused",
-    "Rejected",
-    "StoreClient",
-    "StoreError",
-    "StoreLimits",
-    "Unknown",
-]
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from driftcleat import wire
+from driftcleat.errors import DriftcleatError
 from driftcleat.model.batch import ENTRY_BYTES, HEAD_BYTES, Batch
 from driftcleat.model.jobs import Job, JobState, Place, TaskState
 from driftcleat.wire import state as messages
@@ -278,7 +279,7 @@
         self.body, self.changes, self.mark, self.garbage = body, changes, mark, garbage
 
 
-class TooLarge(Exception):
+class TooLargeError(DriftcleatError):
     """A batch that the store would not take."""
 
 
@@ -311,8 +312,8 @@
     changes.extend(messages.Remove(key) for key in batch.removes)
     for change in changes:
         if isinstance(change, messages.Put) and len(wire.encode(change.value)) > layout.most_value_bytes:
-            raise TooLarge(f"{change.key} is above {layout.most_value_bytes} bytes")
+            raise TooLargeError(f"{change.key} is above {layout.most_value_bytes} bytes")
     body = wire.encode(messages.Txn(conditions, changes))
     if len(body) > 64 * 1024 or len(changes) > layout.most_ops:
-        raise TooLarge(f"{len(changes)} changes in {len(body)} bytes")
+        raise TooLargeError(f"{len(changes)} changes in {len(body)} bytes")
     return EncodedBatch(body, len(changes), mark, garbage)
--- a/driftcleat/wire/__init__.py
+++ b/driftcleat/wire/__init__.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from driftcleat.errors import DriftcleatError
+
 T = TypeVar("T")
 
 _encoder = msgspec.json.Encoder()
@@ -34,5 +36,5 @@
         raise WireError(str(error)) from None
 
 
-class WireError(ValueError):
+class WireError(DriftcleatError, ValueError):
     """A message that is not what its interface says."""
--- a/driftcleat/wire/users.py
+++ b/driftcleat/wire/users.py
@@ -85,7 +85,7 @@
     field: str | None = None
 
 
-class BadField(WireError):
+class BadFieldError(WireError):
     """A submission with a field that is missing or invalid."""
 
     def __init__(self, field: str, why: str) -> None:
@@ -99,33 +99,33 @@
 
 
 def parse_object(body: bytes) -> dict[str, Any]:
-    """Return the body's JSON object; `BadField` (field `body`) for anything else."""
+    """Return the body's JSON object; `BadFieldError` (field `body`) for anything else."""
     try:
         return decode(body, dict[str, Any])
     except WireError:
-        raise BadField("body", "must be a JSON object") from None
+        raise BadFieldError("body", "must be a JSON object") from None
 
 
 def parse_id(raw: dict[str, Any]) -> str:
     """Return the object's job id, checked before all other fields."""
     job_id = raw.get("nameId")
     if not isinstance(job_id, str) or not is_job_id(job_id):
-        raise BadField("nameId", "must have the form req-000412")
+        raise BadFieldError("nameId", "must have the form req-000412")
     return job_id
 
 
 def parse_submission(raw: dict[str, Any]) -> Submission:
-    """Return the checked submission; `BadField` names the first field that is wrong."""
+    """Return the checked submission; `BadFieldError` names the first field that is wrong."""
     known = {field.encode_name: field for field in msgspec.structs.fields(Submission)}
     for name, field in known.items():
         if name not in raw:
             if field.required:
-                raise BadField(name, "is missing")
+                raise BadFieldError(name, "is missing")
             continue
         try:
             msgspec.convert(raw[name], field.type)
         except (msgspec.MsgspecError, RecursionError) as error:
-            raise BadField(name, str(error)) from None
+            raise BadFieldError(name, str(error)) from None
     job = msgspec.convert({name: raw[name] for name in known if name in raw}, Submission)
     _check_ranges(job)
     return msgspec.structs.replace(job, needs=tuple(dict.fromkeys(job.needs)) if job.needs else None)
@@ -161,9 +161,9 @@
     parse_id({"nameId": job.id})
     for name, text in (("cargo", job.job_class), ("crew", job.team), ("hull", job.image), ("harbor", job.zone)):
         if text is not None and not 0 < len(text.encode("utf-8", "replace")) <= MAX_TEXT:
-            raise BadField(name, f"must have 1 to {MAX_TEXT} bytes")
+            raise BadFieldError(name, f"must have 1 to {MAX_TEXT} bytes")
     if not 1 <= job.tasks <= MAX_TASKS:
-        raise BadField("hands", f"must be 1 to {MAX_TASKS}")
+        raise BadFieldError("hands", f"must be 1 to {MAX_TASKS}")
     amounts = (
         ("cores", job.cpus),
         ("accelerators", job.gpus),
@@ -176,12 +176,12 @@
     )
     for name, amount in amounts:
         if amount is not None and not (math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT):
-            raise BadField(name, "must be a number that is not negative")
+            raise BadFieldError(name, "must be a number that is not negative")
     for need in job.needs or ():
         if not is_job_id(need):
-            raise BadField("tows", "must be null or a list of job ids")
+            raise BadFieldError("tows", "must be null or a list of job ids")
     if job.types is not None:
         if not 1 <= len(job.types) <= MAX_TYPES:
-            raise BadField("builds", f"must be null or name 1 to {MAX_TYPES} types")
+            raise BadFieldError("builds", f"must be null or name 1 to {MAX_TYPES} types")
         if any(not 0 < len(text.encode("utf-8", "replace")) <= MAX_TEXT for text in job.types):
-            raise BadField("builds", f"each must have 1 to {MAX_TEXT} bytes")
+            raise BadFieldError("builds", f"each must have 1 to {MAX_TEXT} bytes")
--- a/driftcleat/writer.py
+++ b/driftcleat/writer.py
@@ -5,12 +5,20 @@
 from collections.abc import Callable
 
 from driftcleat import wire
+from driftcleat.errors import DriftcleatError
 from driftcleat.leadership import CurrentTerm, Role
 from driftcleat.metrics import Metrics
 from driftcleat.model import Batch
 from driftcleat.settings import Platform
-from driftcleat.store.client import Conflict, Malformed, Rejected, StoreClient, StoreError, Unknown
-from driftcleat.store.records import BATCH, BatchMark, EncodedBatch, TooLarge, encode_batch
+from driftcleat.store.client import (
+    ConflictError,
+    MalformedError,
+    RejectedError,
+    StoreClient,
+    StoreError,
+    UnknownOutcomeError,
+)
+from driftcleat.store.records import BATCH, BatchMark, EncodedBatch, TooLargeError, encode_batch
 from driftcleat.term import Term
 
 log = logging.getLogger(__name__)
@@ -22,7 +30,7 @@
 RETRY_PAUSE = 0.06
 
 
-class TermEndedError(Exception):
+class TermEndedError(DriftcleatError):
     """The term has ended while its batch was under way."""
 
 
@@ -81,8 +89,8 @@
             return
         try:
             revision = await self._commit(term, batch, encoded)
-        except Rejected as error:
-            # Refused for its size: limits have fallen, which they do only once every controller is new.
+        except RejectedError as error:
+            # RefusedError for its size: limits have fallen, which they do only once every controller is new.
             term.migration.latch_wanted = True
             await self._drop(term, batch, error)
             return
@@ -102,7 +110,7 @@
         began = self._clock()
         try:
             encoded = encode_batch(batch, term.layout, term.cluster.token, self.batch_number, self._mark_version)
-        except TooLarge as error:
+        except TooLargeError as error:
             await self._drop(term, batch, error)
             return None
         self._metrics.spent("encode", self._clock() - began)
@@ -118,26 +126,26 @@
         while True:
             try:
                 return await self._store.txn_raw(encoded.body, encoded.changes)
-            except Conflict as conflict:
+            except ConflictError as conflict:
                 revision = await self._read_back(term, encoded.mark)
                 if revision is not None:
                     return revision
                 log.warning("batch refused: %s", conflict)
                 self._current.end(term, "a batch was refused")
                 raise TermEndedError from None
-            except Rejected:
+            except RejectedError:
                 # An earlier try of the same batch may have come before the limits fell.
                 revision = await self._read_back(term, encoded.mark) if perhaps_taken else None
                 if revision is not None:
                     return revision
                 raise
-            except Malformed as error:
+            except MalformedError as error:
                 log.error("batch answered with nonsense: %s", error)
                 self._current.end(term, "the answer to a batch was malformed")
                 raise TermEndedError from None
             except StoreError as error:
                 log.debug("batch: %s", error)
-                perhaps_taken = perhaps_taken or isinstance(error, Unknown)
+                perhaps_taken = perhaps_taken or isinstance(error, UnknownOutcomeError)
             if self._current.term is not term:
                 raise TermEndedError
             unsure = self._current.election.role is Role.UNSURE
--- a/tools/load.py
+++ b/tools/load.py
@@ -109,6 +109,7 @@
     size = SIZES["hki"]
 
     def start(self, label: str) -> None:
+        """Start a controller as a process of its own."""
         path = Path(tempfile.gettempdir()) / f"driftcleat-load-{os.getpid()}-{label}.toml"
         path.write_text(toml(self, label, self.size))
         self.paths = [*getattr(self, "paths", []), path]
@@ -176,7 +177,7 @@
             await report(worker, newest, sent_at)
             self.taken.append(time.monotonic() - began)
 
-        site.world._report = timed  # type: ignore[method-assign]
+        site.world._report = timed  # type: ignore[method-assign, assignment]
 
     def late(self) -> int:
         """Count those that came too late for a worker."""
--- a/tools/record.py
+++ b/tools/record.py
@@ -93,7 +93,7 @@
     """Return one message of each kind, as it goes over the wire."""
     # The name that the status of a leader had until 0.4.0.
     status = getattr(peers, "LeaderStatus", None) or peers.Standing  # type: ignore[attr-defined]
-    version = {"data_version": records.DATA_VERSION} if hasattr(records, "DATA_VERSION") else {}
+    version: dict[str, Any] = {"data_version": records.DATA_VERSION} if hasattr(records, "DATA_VERSION") else {}
     found = [
         peers.Ask("a", **version),
         peers.Ping("a", **version),
--- a/tools/walk.py
+++ b/tools/walk.py
@@ -12,7 +12,6 @@
 
 import click
 
-from tests import test_meetings_walk
 from tests.simulation import Simulation
 from tests.test_meetings_walk import walk
 
@@ -35,12 +34,11 @@
 @click.option("--digest", is_flag=True, help="Print a digest of the records that each walk leaves.")
 def main(first: int, last: int, digest: bool) -> None:
     """Play the seeds FIRST to LAST; exit with 1 if a rule broke."""
-    if digest:
-        test_meetings_walk.Simulation = DigestedSimulation  # type: ignore[misc]
+    kind = DigestedSimulation if digest else Simulation
     broken = 0
     for seed in range(first, last + 1):
         try:
-            walk(seed)
+            walk(seed, kind)
         except AssertionError as error:
             broken += 1
             click.echo(f"seed {seed}: {error}")
