--- a/tests/test_meetings_walk.py
+++ b/tests/test_meetings_walk.py
@@ -179,7 +179,7 @@
     return sorted(job_id for job_id in sim.told if sim.specs[job_id].kind is not Kind.SERVICE)
 
 
-def walk(seed: int) -> Simulation:
+def walk(seed: int, kind: type[Simulation] = Simulation) -> Simulation:
     rng = random.Random(seed)
     sim = kind(seed, next={"value_kb": 2.0, "txn_ops": 4, "write_rps": 35.0})
 
