--- a/driftcleat/model/needs.py
+++ b/driftcleat/model/needs.py
@@ -26,8 +26,8 @@
 class Inherited:
     """The most urgent level of a job and of all that need it, and when it should be done for the deadlines of those.
 
-    A job's own deadline is not in it: to go by that among jobs of one rank served those that were late already, and
-    fewer jobs met theirs (measured, see `docs/limits.md`).
+    A job's own deadline is not in it: to go by that among jobs of one rank would serve those first that are late
+    already, and in trials rather fewer jobs met theirs (`docs/limits.md`).
     """
 
     level: int = LEAST
--- a/driftcleat/term/demand.py
+++ b/driftcleat/term/demand.py
@@ -48,7 +48,7 @@
 
     def plan(self, now: float, silence: Silence) -> Plan:
         """Return what to rent for queued and expected work, and which machines that work would use."""
-        demands = self._queued()
+        demands = self.queued()
         demands.extend(self._presumed_lost(silence, now))
         demands.extend(self._expected(now))
         if log.isEnabledFor(logging.DEBUG):
@@ -57,14 +57,14 @@
         partitioned = {zone for zone in zones if silence.partitioned_now(zone)}
         return plan_fleet(
             demands,
-            self._free(),
+            self.free(),
             self._cluster.types,
             lambda offer: self._rentals.is_refused(offer, now) or offer[1] in partitioned,
             MOST_RENTED,
             self._platform.away,
         )
 
-    def _queued(self) -> list[Demand]:
+    def queued(self) -> list[Demand]:
         """Return what waits in the queue and its team may still take."""
         queued = self._queue.queued()
         limits: dict[str, Limits] = {}
@@ -121,7 +121,7 @@
             return job.queued if limit.fits(job.spec, job.queued) else 0
         return capacity(job.spec, limit.cpus, limit.gpus, INFINITE, job.queued)
 
-    def _free(self) -> CandidatePool:
+    def free(self) -> CandidatePool:
         """Return what is free on machines that are up or boot, and on those that were asked for."""
         pool = CandidatePool()
         for machine in self._cluster.machines.values():
--- a/driftcleat/term/term.py
+++ b/driftcleat/term/term.py
@@ -77,7 +77,7 @@
         self.candidates = MachineCandidates(context, reservations)
         self.preemption = Preemption(context, self.candidates, reservations, self.drains, self.pacing)
         self._placement = PlacementPass(context, self.queue, self.candidates, self.preemption, self.pacing)
-        self._demand = DemandPlanner(context, self.queue, self.reachability, self.rentals, self._arrivals)
+        self.demand = DemandPlanner(context, self.queue, self.reachability, self.rentals, self._arrivals)
         self._surplus = Surplus(context, self.candidates, self.reachability)
         self._listen_to_cluster()
         self._note_known_jobs(now, wall())
@@ -242,7 +242,7 @@
 
         `silence`: what `reachability` has just said, if it was asked.
         """
-        return self._demand.plan(now, silence or self.reachability.silence(now))
+        return self.demand.plan(now, silence or self.reachability.silence(now))
 
     def surplus(self, plan: Plan, now: float, silence: Silence | None = None) -> list[Machine]:
         """Return machines that are to be returned."""
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -1,8 +1,23 @@
 """What work costs, in counts that repeat exactly: guards of what was gained for small controllers."""
 
+import random
 import subprocess
 import sys
 
+import pytest
+
+from driftcleat import wire
+from driftcleat.api import Answer
+from driftcleat.fleet.silence import Silence
+from driftcleat.model import Cluster, Machine, MachineState, change_machine
+from driftcleat.settings import Tuning
+from driftcleat.store.records import Layout, encode_batch
+from driftcleat.term import Term, Ticket
+from driftcleat.wire.workers import Orders, Report
+
+from .samples import BIG, TYPES, job, platform, raw_job
+from .simulation import Simulation
+
 # Loaded only by what needs them: each costs a start milliseconds of a core, of which a controller has a small share.
 NOT_AT_START = ("aiohttp.web", "aiohttp.web_app", "configparser", "hypothesis", "pytest", "unittest")
 
@@ -12,3 +27,95 @@
     loaded = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True).stdout.split()
     assert "driftcleat.controller" in loaded
     assert not set(NOT_AT_START) & set(loaded)
+
+
+def fleet(machines: int) -> tuple[Term, list[float]]:
+    """Return a term with that many empty machines, and its clock."""
+    now = [0.0]
+    site = platform()
+    cluster = Cluster(5, {}, dict(TYPES), 0.0, site.lease_s)
+    layout = Layout(site.value_bytes, site.txn_ops)
+    term = Term(site, Tuning(), cluster, layout, random.Random(1), lambda: now[0], lambda: now[0], brand_new=True)
+    for number in range(machines):
+        zone = ("north", "south")[number % 2]
+        cluster.observe(Report(f"vm-{number}", "h", "big", zone, False, 1, 1, 5, ()), 0.0)
+    return term, now
+
+
+def test_sizing_looks_at_kinds_of_jobs_and_machines_not_at_each_of_them() -> None:
+    """Guards against rounds of sizing that grow with the queue: they were a quarter of a leader's processor time."""
+    term, _ = fleet(200)
+    # Whole machines, of two ranks, and one gang whose tasks depend on one another's zones.
+    wide = {"accelerators": 4.0, "cores": 16.0, "hands": 1, "imageGb": 0.0}
+    for number in range(1, 41):
+        rank = ("high", "standard")[number % 2]
+        term.admission.submit(Ticket(lambda view: None, job(number, rank=rank, crew="blue", **wide)))
+    gang = job(50, rig="group", together=True, crew="blue", **(wide | {"hands": 2, "accelerators": 0.0}))
+    term.admission.submit(Ticket(lambda view: None, gang))
+    term.pacing.place_from = float("inf")
+    for number in range(1, 9):
+        batch = term.build()
+        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+    assert len(term.queue.queued().jobs) == 41
+    demands = term.demand.queued()
+    # The team's limit of six accelerators leaves room for one of these.
+    assert sorted(demand.tasks for demand in demands) == [1, 2]
+    free = term.demand.free()
+    assert len(free.groups) == 2 and sum(len(names) for _, names in free.groups.values()) == 200
+
+
+def test_jobs_alike_are_one_demand_with_all_their_tasks() -> None:
+    term, _ = fleet(1)
+    for number in range(1, 31):
+        spec = job(number, hands=1 + number % 3, accelerators=0.0, rank=("high", "standard")[number % 2])
+        term.admission.submit(Ticket(lambda view: None, spec))
+    term.pacing.place_from = float("inf")
+    for number in range(1, 9):
+        batch = term.build()
+        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+    jobs = term.queue.queued().jobs
+    assert len(jobs) == 30
+    demands = term.demand.queued()
+    assert len(demands) == 2 and sum(demand.tasks for demand in demands) == sum(found.queued for found in jobs)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_silence_counted_in_one_pass_is_what_counting_each_machine_gives(seed: int) -> None:
+    rng = random.Random(seed)
+    term, now = fleet(60)
+    now[0] = 100.0
+    for machine in term.cluster.machines.values():
+        machine.heard_at = rng.uniform(60.0, 100.0)
+        if rng.random() < 0.2:
+            machine.report = None
+            machine.running_since = rng.choice([None, 50.0, 95.0])
+        if rng.random() < 0.2:
+            change_machine(machine, MachineState.DRAINING)
+    for number in range(6):
+        boots = Machine(f"boots-{number}", BIG, "north", False, "", 70.0)
+        boots.running_since = rng.choice([None, 80.0, 99.0])
+        term.cluster.machines[boots.name] = boots
+    found, plain = term.reachability.silence(now[0]), Silence(13.5, 45.0, 0.05)
+    for machine in term.cluster.machines.values():
+        if term.reachability.runs(machine):
+            plain.count(machine.zone, term.reachability.silent_s(machine, now[0]))
+    assert (found.zones, found.silent, found.known) == (plain.zones, plain.silent, plain.known)
+    assert found.alone_s == plain.alone_s
+
+
+def test_a_report_without_news_is_answered_without_a_task() -> None:
+    """Guards against a task for each of several hundred reports a second."""
+
+    async def story(sim: Simulation) -> None:
+        sim.hand_in(raw_job(1, rig="daemon", hands=1, voyageS=0.0))
+        await sim.until(sim.on_machines)
+        await sim.rest(8.0)
+        controller = sim.controllers[str(sim.lead())]
+        worker = sim.on_machines()[0][0]
+        before = len(controller.background.tasks)
+        reply = controller.reply_front("POST", "/agent/beat", wire.encode(worker.report()))
+        assert isinstance(reply, Answer) and reply.status == 200
+        assert wire.decode(reply.body, Orders).signals == []
+        assert len(controller.background.tasks) == before
+
+    Simulation(5).play(story)
