--- a/driftcleat/fleet/silence.py
+++ b/driftcleat/fleet/silence.py
@@ -60,7 +60,7 @@
         return known >= FEW and silent >= known * MOST and self.silent < self.known * MOST
 
     def partitioned(self, zone: str) -> bool:
-        """Whether a zone is dark, or was until a moment ago."""
+        """Whether a zone is partitioned, or was until a moment ago."""
         return self.partitioned_now(zone) or zone in self._lately
 
     def correlated(self, zone: str) -> bool:
--- a/driftcleat/fleet/sizing.py
+++ b/driftcleat/fleet/sizing.py
@@ -272,12 +272,12 @@
                 for demand in left:
                     if (candidate.gpus > 0 or candidate.cpus > 0) and (taken := _fill(demand, candidate, dry=True)):
                         filled += taken
-                        haste = (
+                        speed = (
                             (kind.fetch_gb_per_s / fastest) ** FETCH_SPEED_WEIGHT
                             if latency_sensitive(demand.spec)
                             else 1.0
                         )
-                        worth += demand.cost(types) * taken * haste
+                        worth += demand.cost(types) * taken * speed
                 if worth > 0:
                     # Guards against many small machines with one task each: what none of the others fits into
                     # is worth nothing while others wait.
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -1,4 +1,4 @@
-"""The election's state machine: follower, tending, campaigning, rebuilding, leading, unsure."""
+"""The election's state machine: follower, isolated, campaigning, rebuilding, leading, unsure."""
 
 import asyncio
 import logging
@@ -54,7 +54,7 @@
 
     Whether one of them is served by the store or leads; as of when a leader among them was sure of it, and which
     cancelled jobs' tasks it had not seen gone; the highest token that any of them knows and whose it is; whether
-    every one of them confirms for what it knows.
+    every one of them has read a leader key since it was started, and so can say what it knows.
     """
 
     others_served: bool = False
@@ -99,7 +99,7 @@
         self.stand_back_until = float("-inf")
         self._resign_wanted: str | None = None
         self._revision = 0
-        # While unsure: when last every other controller vouched that nobody leads after us.
+        # While unsure: when last every other controller confirmed that nobody leads after us.
         self._confirmed_at = float("-inf")
         # Whether a leader key was read in this life: before, an earlier life of ours may have led unknown to us.
         self.confirms = False
@@ -265,10 +265,10 @@
         The contact with a leader that is itself unsure counts from when it was last assured. Guards against two
         bounds that add up: a leader cut off with us keeps the leases to its end, and we once more after it.
         """
-        outlook = await self.ask_peers()
-        self.learn(outlook.leader, outlook.token)
-        self._note_contact(outlook)
-        if outlook.others_served:
+        survey = await self.ask_peers()
+        self.learn(survey.leader, survey.token)
+        self._note_contact(survey)
+        if survey.others_served:
             if self.role is Role.ISOLATED:
                 self.change(Role.FOLLOWER)
         elif (
@@ -281,12 +281,12 @@
         elif self.role is Role.ISOLATED and self.isolated_token is None:
             self.change(Role.FOLLOWER)
 
-    def _note_contact(self, outlook: PeerSurvey) -> None:
+    def _note_contact(self, survey: PeerSurvey) -> None:
         """A leader has told how it stands."""
-        if outlook.leader_contact_at > self._leader_contact_at:
+        if survey.leader_contact_at > self._leader_contact_at:
             self._leader_contact_at, self.cancelled, self.superseded = (
-                outlook.leader_contact_at,
-                outlook.cancelled,
+                survey.leader_contact_at,
+                survey.cancelled,
                 False,
             )
 
@@ -344,11 +344,11 @@
         self._resign_wanted = None
         self._confirmed_at = float("-inf")
         self.change(Role.REBUILDING)
-        keeper = asyncio.ensure_future(self._renew_while_rebuilding())
+        renewal = asyncio.ensure_future(self._renew_while_rebuilding())
         try:
             await self.rebuild(token)
         finally:
-            keeper.cancel()
+            renewal.cancel()
         if not self.lease.valid(self.clock()):
             self._step_down("the lease ran out while rebuilding")
             return
@@ -417,13 +417,13 @@
         before our lease has ended, and if an outage comes first, nobody would keep the leases.
         """
         asked_at = self.clock()
-        outlook = await self.ask_peers()
-        if outlook.token > self.token:
+        survey = await self.ask_peers()
+        if survey.token > self.token:
             self.stand_back_until = self.clock() + self.platform.lease_s
-            self._step_down(f"a controller knows token {outlook.token}")
-            self.learn(outlook.leader, outlook.token)
+            self._step_down(f"a controller knows token {survey.token}")
+            self.learn(survey.leader, survey.token)
             return
-        if outlook.all_confirm:
+        if survey.all_confirm:
             self._confirmed_at = asked_at
         if not self.answers_workers:
             # If the store serves somebody, a new leader has shown our workers its token by now, unless all of us
@@ -437,7 +437,7 @@
             # What was kept so far counts, should we find ourselves in contact with nobody.
             self._leader_contact_at = self.certain_at
             self.change(Role.FOLLOWER)
-            # What we held as a leader we do not go on to tend: the bound is used up, or another leads.
+            # Leases that we kept as a leader are not kept on in isolation: the bound is used up, or another leads.
             self.superseded = True
             self.lease.lost()
             if self.leader == self.platform.label:
--- a/driftcleat/model/batch.py
+++ b/driftcleat/model/batch.py
@@ -18,9 +18,9 @@
         chunk_of: Callable[[Job, int], int],
         ops: int,
         size: int,
-        frozen: Callable[[Job], bool] = lambda job: False,
+        awaits_migration: Callable[[Job], bool] = lambda job: False,
     ) -> None:
-        self.committed, self.chunk_of, self._frozen = committed, chunk_of, frozen
+        self.committed, self.chunk_of, self._awaits_migration = committed, chunk_of, awaits_migration
         self.ops_left, self.size_left = ops, size
         self.jobs: dict[str, Job] = {}
         self.created: set[str] = set()
@@ -40,11 +40,11 @@
         # Jobs that wait for their records to be moved before they can change.
         self.blocked: set[str] = set()
         # Jobs whose records this batch moves: it has written their tasks already.
-        self.relaid: set[str] = set()
+        self.rewritten: set[str] = set()
 
-    def frozen(self, job: Job) -> bool:
+    def awaits_migration(self, job: Job) -> bool:
         """Whether a job's records must be moved first; it is noted that something waits for that."""
-        if not self._frozen(job) and job.id not in self.relaid:
+        if not self._awaits_migration(job) and job.id not in self.rewritten:
             return False
         self.blocked.add(job.id)
         return True
@@ -58,9 +58,9 @@
         """Return a job as this batch leaves it."""
         return self.jobs.get(job_id) or self.committed.get(job_id)
 
-    def room_at(self, job: Job, index: int) -> bool:
+    def has_room_at(self, job: Job, index: int) -> bool:
         """Tell whether a task's leaving its place still fits, and the stops of its gang, which may have to follow."""
-        if self.frozen(job):
+        if self.awaits_migration(job):
             return False
         indices = [index, *job.places] if job.is_gang else [index]
         chunks = {self.chunk_of(job, other) for other in indices}
@@ -70,12 +70,12 @@
             ops = max(ops, 2)
         return ops - self._charged.get(job.id, 0) <= self.ops_left and self._cost(job, 1) <= self.size_left
 
-    def room(self, job: Job, entries: int = 1, chunks: int = 0, ends: bool = False) -> bool:
+    def has_room(self, job: Job, entries: int = 1, chunks: int = 0, ends: bool = False) -> bool:
         """Tell whether a change of a job's head and of that many tasks still fits; `ends` if it may end the job.
 
         `chunks` counts the records beside the head that it opens or has opened in this batch.
         """
-        if self.frozen(job):
+        if self.awaits_migration(job):
             return False
         ops = max(1 + max(chunks, len(self.chunks.get(job.id, ()))), 2 if ends else 0)
         return ops - self._charged.get(job.id, 0) <= self.ops_left and self._cost(job, entries) <= self.size_left
@@ -95,7 +95,7 @@
         self.ops_left -= ops - self._charged.get(job_id, 0)
         self._charged[job_id] = ops
 
-    def room_extra(self, ops: int = 1) -> bool:
+    def has_room_for_keys(self, ops: int = 1) -> bool:
         """Tell whether that many small keys still fit."""
         return self.ops_left >= ops and self.size_left >= ops * HEAD_BYTES
 
@@ -144,11 +144,11 @@
         self.moves.append((job_id, index, old, place if to is TaskState.PLACED else None))
         self.size_left -= ENTRY_BYTES
 
-    def relay(self, job_id: str, split: int, versions: dict[int, int]) -> None:
+    def rewrite_split(self, job_id: str, split: int, versions: dict[int, int]) -> None:
         """Write a job's head in another split, whose chunks are written already, or in this batch."""
         job = self._open(job_id)
         job.split, job.chunk_versions = split, versions
-        self.relaid.add(job_id)
+        self.rewritten.add(job_id)
 
     def stop(self, job_id: str, index: int, grace: float) -> None:
         """Tell a placed task to stop (a task told already keeps its grace)."""
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -278,8 +278,8 @@
             machine.seen.add(attempt)
             if state != wire_workers.EXITED:
                 continue
-            if not batch.room_at(job, key[1]):
-                whole = batch.frozen(job) and whole
+            if not batch.has_room_at(job, key[1]):
+                whole = batch.awaits_migration(job) and whole
                 continue
             exited = exits[(wire_workers.task_name(*key), place.attempt)]
             self._exited(machine, job, key[1], exited.why or wire_workers.ERROR, batch, now)
@@ -291,8 +291,8 @@
             job = batch.get(key[0])
             if job is None or job.places.get(key[1]) is None:
                 continue
-            if not batch.room_at(job, key[1]):
-                whole = batch.frozen(job) and whole
+            if not batch.has_room_at(job, key[1]):
+                whole = batch.awaits_migration(job) and whole
                 continue
             self._leave(batch, job, key[1])
         return whole
@@ -312,8 +312,8 @@
         unresponsive = machine.unacknowledged > 1
         if not (unwanted or draining or lost or unresponsive):
             return True
-        if not batch.room_at(job, key[1]):
-            return batch.frozen(job)
+        if not batch.has_room_at(job, key[1]):
+            return batch.awaits_migration(job)
         self._leave(batch, job, key[1])
         return True
 
--- a/driftcleat/net/limiter.py
+++ b/driftcleat/net/limiter.py
@@ -40,7 +40,7 @@
         """Whether more connections are open than are kept."""
         return len(self.open) > self.kept
 
-    def opened(self, guest: C) -> bool:
+    def opened(self, connection: C) -> bool:
         """Take in a connection; False if there is no room even after closing an idle one."""
         if len(self.open) >= self.most:
             victim = self._longest_idle()
@@ -49,16 +49,16 @@
                 return False
             self.gone(victim)
             self.close(victim)
-        self.open[guest] = ClientKind.UNKNOWN
+        self.open[connection] = ClientKind.UNKNOWN
         self.counts[ClientKind.UNKNOWN] += 1
-        self.idle[guest] = None
+        self.idle[connection] = None
         return True
 
     def _longest_idle(self) -> C | None:
         """Return the idle connection to give up: of those that have more than their share if there is one."""
-        for guest in self.idle:
-            if self._beyond(self.open[guest]):
-                return guest
+        for connection in self.idle:
+            if self._beyond(self.open[connection]):
+                return connection
         return next(iter(self.idle), None)
 
     def _beyond(self, kind: ClientKind) -> bool:
@@ -68,31 +68,31 @@
         share = WORKERS if kind is ClientKind.WORKER else 1 - WORKERS
         return self.counts[kind] > self.kept * share
 
-    def began(self, guest: C, kind: ClientKind) -> None:
+    def began(self, connection: C, kind: ClientKind) -> None:
         """A request has come in."""
-        before = self.open.get(guest)
+        before = self.open.get(connection)
         if before is None:
             return
-        self.idle.pop(guest, None)
+        self.idle.pop(connection, None)
         if before is not kind:
             self.counts[before] -= 1
             self.counts[kind] += 1
-            self.open[guest] = kind
+            self.open[connection] = kind
 
-    def ended(self, guest: C) -> bool:
+    def ended(self, connection: C) -> bool:
         """A request is answered; True if the connection has to be closed after it."""
-        kind = self.open.get(guest)
+        kind = self.open.get(connection)
         if kind is None:
             return True
         if self.crowded and self._beyond(kind):
             self.last_answers += 1
             return True
-        self.idle[guest] = None
+        self.idle[connection] = None
         return False
 
-    def gone(self, guest: C) -> None:
+    def gone(self, connection: C) -> None:
         """A connection is closed, by whomever."""
-        kind = self.open.pop(guest, None)
+        kind = self.open.pop(connection, None)
         if kind is not None:
             self.counts[kind] -= 1
-            self.idle.pop(guest, None)
+            self.idle.pop(connection, None)
--- a/driftcleat/term/admission.py
+++ b/driftcleat/term/admission.py
@@ -94,10 +94,10 @@
             ticket = self._cancellations[0]
             job = batch.get(ticket.job_id)
             if job is not None and job.state is JobState.ACTIVE:
-                if batch.frozen(job):
+                if batch.awaits_migration(job):
                     postponed.append(self._cancellations.popleft())
                     continue
-                if not batch.room(job, ends=True):
+                if not batch.has_room(job, ends=True):
                     break
                 batch.cancel(ticket.job_id, self._wall())
             self._cancellations.popleft()
@@ -109,9 +109,9 @@
         """Cancel what depends on cancelled jobs: nothing of it has ever started, its records are all there is."""
         for job_id in list(self._cluster.needs.cancel_pending):
             job = batch.get(job_id)
-            if job is None or job.state is not JobState.ACTIVE or batch.frozen(job):
+            if job is None or job.state is not JobState.ACTIVE or batch.awaits_migration(job):
                 continue
-            if not batch.room(job, ends=True):
+            if not batch.has_room(job, ends=True):
                 return
             batch.cancel(job_id, self._wall())
 
@@ -132,7 +132,7 @@
         """Create a job in a batch; False if the batch is too full."""
         job = Job(spec, self._wall())
         self._layout.take_in(job)
-        if not batch.room(job):
+        if not batch.has_room(job):
             return False
         states = {need: self._state_of_need(batch, need, ticket) for need in spec.needs or ()}
         batch.create(job, {need for need, state in states.items() if state is not JobState.DONE})
--- a/driftcleat/term/drains.py
+++ b/driftcleat/term/drains.py
@@ -42,7 +42,7 @@
                 if job is None or job.state is not JobState.ACTIVE:
                     continue
                 if not self.stop_attempt(batch, job, index):
-                    if batch.frozen(job):
+                    if batch.awaits_migration(job):
                         continue
                     return
         self.pending = bool(batch.blocked)
@@ -55,7 +55,7 @@
         grace = job.spec.save_s if job.spec.checkpoint_s > 0 else 0.0
         indices = list(job.places) if job.is_gang else [index]
         chunks = len({self._layout.chunk_of(job, other) for other in indices} - {0})
-        if not batch.room(job, len(indices), chunks):
+        if not batch.has_room(job, len(indices), chunks):
             return False
         for other in indices:
             batch.stop(job.id, other, grace)
--- a/driftcleat/term/housekeeping.py
+++ b/driftcleat/term/housekeeping.py
@@ -26,11 +26,11 @@
 
     def take(self, batch: Batch) -> None:
         """Put as much as fits into a batch."""
-        while self.garbage and batch.room_extra():
+        while self.garbage and batch.has_room_for_keys():
             key = self.garbage.pop()
             batch.remove(key)
             batch.undo.append(partial(self.garbage.append, key))
-        while self.notes and batch.room_extra():
+        while self.notes and batch.has_room_for_keys():
             key, value = self.notes.popitem()
             batch.put(key, value)
             batch.undo.append(partial(self.notes.__setitem__, key, value))
--- a/driftcleat/term/migration.py
+++ b/driftcleat/term/migration.py
@@ -104,14 +104,14 @@
             return
         move = self._move or self._begin(job)
         chunks = -(-job.spec.tasks // move.split)
-        while move.written < chunks and batch.room_extra():
+        while move.written < chunks and batch.has_room_for_keys():
             chunk = self._layout.chunk_in(job, move.split, move.written)
             batch.put(chunk_key(job.id, move.written, move.split), chunk)
             move.versions[move.written] = 0
             move.written += 1
-        if move.written < chunks or not batch.room_extra():
+        if move.written < chunks or not batch.has_room_for_keys():
             return
-        batch.relay(job.id, move.split, move.versions)
+        batch.rewrite_split(job.id, move.split, move.versions)
         batch.after.append(self._end_later(job))
 
     def _begin(self, job: Job) -> Move:
--- a/driftcleat/term/placement.py
+++ b/driftcleat/term/placement.py
@@ -71,7 +71,7 @@
             if self._changes_already(batch, job):
                 self._pacing.want_another()
                 continue
-            if self._clock() >= deadline or not batch.room(job):
+            if self._clock() >= deadline or not batch.has_room(job):
                 self._cut(job, queued)
                 break
             self._place_one(batch, job, state)
@@ -105,7 +105,7 @@
         current = batch.get(job.id)
         if current is None or current.state is not JobState.ACTIVE or job.id in batch.jobs:
             return True
-        return batch.frozen(job)
+        return batch.awaits_migration(job)
 
     def _cut(self, job: Job, queued: list[Job]) -> None:
         """The budget of this round is used up: the next one goes on behind the job before this."""
@@ -159,7 +159,7 @@
         chunks: set[int] = set()
         for count, (index, _) in enumerate(placed):
             chunks |= {self._layout.chunk_of(job, index)} - {0}
-            if not batch.room(job, count + 1, len(chunks)):
+            if not batch.has_room(job, count + 1, len(chunks)):
                 return placed[:count]
         return placed
 
@@ -170,7 +170,7 @@
         if job.is_gang:
             chunks = -(-job.spec.tasks // chunk)
             entries = min(job.queued, len(self._cluster.machines) + chunks)
-            return job.queued if batch.room(job, entries, chunks - 1) else 0
+            return job.queued if batch.has_room(job, entries, chunks - 1) else 0
         return max(1, min(chunk * max(1, ops), (batch.size_left - BYTES_KEPT) // BYTES_A_PLACE))
 
     def _max_fetch_rank(self, job: Job, now: float) -> int:
--- a/driftcleat/term/rentals.py
+++ b/driftcleat/term/rentals.py
@@ -69,11 +69,11 @@
 
     def take(self, batch: Batch) -> None:
         """Put new names, and the removal of settled ones, into a batch."""
-        while self._settled and batch.room_extra():
+        while self._settled and batch.has_room_for_keys():
             name = self._settled.pop()
             batch.remove(RENTALS + name)
             batch.undo.append(partial(self._settled.append, name))
-        while self.new and batch.room_extra():
+        while self.new and batch.has_room_for_keys():
             rental = self.new.pop(0)
             batch.put(RENTALS + rental.name, rental.record)
             batch.undo.append(partial(self.new.insert, 0, rental))
