--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -155,6 +155,17 @@
     play()
 
 
+@served()
+async def test_a_body_that_goes_wrong_half_way_is_answered(server: Server) -> None:
+    """Guards against a connection that waits for ever: what follows cannot be told from the body any more."""
+    client = await server.connect()
+    await client.send(CHUNKED + CHUNK)
+    await asyncio.sleep(0.05)
+    await client.send(b"zz\r\n")
+    assert (await client.answer())[0] == 400
+    assert await client.closed() and not server.asked
+
+
 @served()
 async def test_an_answer_that_is_the_last_is_given_whole_and_then_the_connection_ends(server: Server) -> None:
     client = await server.connect()
