--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -1,4 +1,4 @@
-"""What was added to the protocol: deaf machines, late copies, split leaders, quick returns, the largest jobs."""
+"""What was added to the protocol: unresponsive machines, late copies, split leaders, quick returns, large jobs."""
 
 import random
 
@@ -26,7 +26,7 @@
 # -- a machine whose reports arrive while answers and commands do not reach it -------------------------------
 
 
-def test_a_deaf_machine_is_returned_and_its_work_goes_on_elsewhere() -> None:
+def test_an_unresponsive_machine_is_returned_and_its_work_goes_on_elsewhere() -> None:
     """Guards against offering starts for ever to a machine that looks alive and hears nothing."""
     world = busy_world()
     worker = holder(world, 3)
@@ -49,7 +49,7 @@
     assert term.cluster.observe(heard, now[0]) is machine and term.candidates.takes_tasks(machine, now[0])
 
 
-def test_a_cancelled_task_on_a_deaf_machine_is_gone_in_time() -> None:
+def test_a_cancelled_task_on_an_unresponsive_machine_is_gone_in_time() -> None:
     world = busy_world()
     worker = holder(world, 3)
     worker.deaf = True
@@ -59,7 +59,7 @@
     assert all(task.job.id != "req-000003" for _, task in world.on_machines())
 
 
-def test_one_lost_answer_is_no_deafness() -> None:
+def test_one_lost_answer_makes_no_machine_unresponsive() -> None:
     now = [100.0]
     term = make_term(now)
     placed(term, hands=1)
@@ -74,8 +74,8 @@
     assert machine.unacknowledged == 0 and term.candidates.takes_tasks(machine, now[0])
 
 
-def test_many_deaf_at_once_are_not_returned() -> None:
-    """Guards against a leader too slow to answer that takes the whole fleet for deaf."""
+def test_many_unresponsive_at_once_are_not_returned() -> None:
+    """Guards against a leader too slow to answer that takes the whole fleet for unresponsive."""
     now = [1000.0]
     term = make_term(now)
     term.cluster.started_at = 0.0
@@ -334,7 +334,7 @@
 
 @settings(max_examples=150, deadline=None)
 @given(st.data())
-def test_rooms_in_groups_hold_what_rooms_one_by_one_hold(data: st.DataObject) -> None:
+def test_candidates_in_groups_hold_what_each_by_itself_holds(data: st.DataObject) -> None:
     rooms = []
     for number in range(data.draw(st.integers(0, 24))):
         kind = data.draw(st.sampled_from([TYPES["big"], TYPES["small"]]))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -339,7 +339,7 @@
     assert term.surplus(kept(term), now[0]) == [booting], "the list does not call this one running"
 
 
-def test_room_for_the_work_of_many_silent_machines_boots_early_and_none_in_a_dark_zone() -> None:
+def test_room_for_the_work_of_many_silent_machines_boots_early_and_none_in_a_partitioned_zone() -> None:
     """Guards against waiting for the cloud's word about a hundred machines before the first new one is rented."""
     now = [1000.0]
     term = fleet_term(now, 20)
@@ -417,7 +417,7 @@
     undo = await cut_peers(site, inside)
     site.name_sender(inside)
     site.store.down_for.add(inside)
-    await until(lambda: election.isolated_token is not None, "it tends")
+    await until(lambda: election.isolated_token is not None, "it is isolated")
     status, answer, _ = await site.call(inside, "POST", "/agent/beat", report)
     assert (status, answer) == (200, {"helm": token, "signals": []}), "the last leader's token, and no command"
     status, _, _ = await site.call(inside, "POST", "/agent/beat", report | {"helm": token + 1})
@@ -426,7 +426,7 @@
     await asyncio.sleep(4 * election.ttl_s)
     assert election.isolated_token is None
     election.superseded = False
-    await until(lambda: election.isolated_token is not None, "it tends")
+    await until(lambda: election.isolated_token is not None, "it is isolated")
     election.max_uncertain_s = 0.0
     assert (await site.call(inside, "POST", "/agent/beat", report))[0] == 421, "not for ever"
     for back in undo:
@@ -438,7 +438,7 @@
 
 
 @live
-async def test_a_follower_that_still_reaches_a_controller_tends_nothing(site: Site) -> None:
+async def test_a_follower_that_still_reaches_a_controller_keeps_no_leases(site: Site) -> None:
     leader = site.leader()
     assert leader is not None
     inside = next(label for label in "abc" if label != leader)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -113,7 +113,7 @@
 
 
 @played()
-async def test_peers_that_were_started_since_vouch_for_nothing(sim: Simulation) -> None:
+async def test_peers_that_were_started_since_confirm_nothing(sim: Simulation) -> None:
     """Controllers hand over, all but the old leader end and are back at once, inside an outage: who was the leader
     and confirmed a cancellation has forgotten it, and the old one is told of no higher token."""
     ids = await services(sim)
@@ -257,7 +257,7 @@
 @played()
 async def test_the_lease_of_a_machine_that_missed_a_stop_is_not_kept_once_more(sim: Simulation) -> None:
     """A cancelled task's machine hears nothing for a while; then the leader ends, inside an outage of the store and
-    the cloud. The follower that tends keeps leases from its last contact on, but not this machine's."""
+    the cloud. The isolated follower keeps leases from its last contact on, but not this machine's."""
     ids = await services(sim)
     leader = sim.lead()
     assert leader is not None
@@ -276,7 +276,7 @@
 
 
 @played()
-async def test_a_restarted_follower_tends_nothing_on_hearsay(sim: Simulation) -> None:
+async def test_a_restarted_follower_keeps_no_leases_on_hearsay(sim: Simulation) -> None:
     """It has learnt the last leader's token from a peer and never heard a leader itself: how old what it would keep
     is, it cannot know."""
     ids = await services(sim)
