--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -485,18 +485,7 @@
                 record = RentalRecord(raw["build"], raw["harbor"], raw["driftwood"], raw["howMany"], 0.0)
                 self.rentals_done[raw["charter"]] = tuple(self.boot(record) for _ in range(room))
             return 200, wire.encode({"bollards": self.rentals_done[raw["charter"]]})
-        rows = [
-            {
-                "nameId": worker.name,
-                "addr": f"{worker.name}:1",
-                "build": worker.kind.name,
-                "harbor": worker.zone,
-                "driftwood": worker.spot,
-                "bearing": "running",
-                "ageS": 1.0,
-            }
-            for worker in self.alive()
-        ]
+        rows = self.listed_machines(lambda name: f"{name}:1")
         return 200, wire.encode({"bollards": rows, "truncated": False})
 
     def boot(self, record: RentalRecord) -> str:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -251,18 +251,7 @@
                 record = RentalRecord(raw["build"], raw["harbor"], raw["driftwood"], raw["howMany"], 0.0)
                 self.rentals_done[raw["charter"]] = tuple(self.boot(record) for _ in range(raw["howMany"]))
             return web.json_response({"bollards": self.rentals_done[raw["charter"]]})
-        rows = [
-            {
-                "nameId": worker.name,
-                "addr": self.addresses["workers"] + "/" + worker.name,
-                "build": worker.kind.name,
-                "harbor": worker.zone,
-                "driftwood": worker.spot,
-                "bearing": "running",
-                "ageS": 1.0,
-            }
-            for worker in self.alive()
-        ]
+        rows = self.listed_machines(lambda name: f"{self.addresses['workers']}/{name}")
         return web.json_response({"bollards": rows, "truncated": False})
 
     async def live(self) -> None:
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -9,13 +9,13 @@
 from driftcleat.model import Cluster, Job, MachineState
 from driftcleat.placement.candidates import Candidate, allowed, capacity, fits, spread_limit
 from driftcleat.placement.engine import Limits, PlacementRound
-from driftcleat.settings import Tuning
-from driftcleat.store.records import Layout, RentalRecord
-from driftcleat.term import Term, Ticket
+from driftcleat.store.records import RentalRecord
+from driftcleat.term import Ticket
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.workers import Report, TaskReport
 
 from .samples import BIG, TYPES, job, platform
+from .terms import new_term
 from .test_core import commit, make_term, placed, report
 from .test_troubles import busy_world, holder
 from .world import PlainWorker, World
@@ -97,16 +97,7 @@
     """Guards against a report of a machine long gone: it was taken for a machine with room."""
     now = [100.0]
     cluster = Cluster(9, {}, dict(TYPES), now[0], SITE.lease_s)
-    term = Term(
-        SITE,
-        Tuning(),
-        cluster,
-        Layout(SITE.value_bytes, SITE.txn_ops),
-        random.Random(1),
-        lambda: now[0],
-        lambda: now[0],
-        brand_new=True,
-    )
+    term = new_term(SITE, cluster, now)
     copy = Report("vm-1", "h:1", "big", "north", False, 1, 7, 5, (), 3.0)
     machine = cluster.observe(copy, now[0])
     assert machine is not None
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -22,6 +22,7 @@
 from driftcleat.wire.workers import Report, TaskReport
 
 from .samples import BIG, TYPES, job, platform
+from .terms import new_term
 from .world import PlainStore
 
 SITE = platform()
@@ -30,16 +31,7 @@
 def make_term(now: list[float], clock: Callable[[], float] | None = None) -> Term:
     """Return a term with one empty machine `vm-1` that has reported; `clock` stands for the time in `now`."""
     cluster = Cluster(5, {}, dict(TYPES), now[0])
-    term = Term(
-        SITE,
-        Tuning(),
-        cluster,
-        Layout(SITE.value_bytes, SITE.txn_ops),
-        random.Random(1),
-        clock or (lambda: now[0]),
-        lambda: now[0],
-        brand_new=True,
-    )
+    term = new_term(SITE, cluster, now, clock)
     cluster.observe(report(1), now[0])
     return term
 
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -10,13 +10,13 @@
 from driftcleat.api import Answer
 from driftcleat.fleet.silence import Silence
 from driftcleat.model import Cluster, Machine, MachineState, change_machine
-from driftcleat.settings import Tuning
-from driftcleat.store.records import Layout, encode_batch
+from driftcleat.store.records import encode_batch
 from driftcleat.term import Term, Ticket
 from driftcleat.wire.workers import Orders, Report
 
 from .samples import BIG, TYPES, job, platform, raw_job
 from .simulation import Simulation
+from .terms import new_term
 
 # Loaded only by what needs them: each costs a start milliseconds of a core, of which a controller has a small share.
 NOT_AT_START = ("aiohttp.web", "aiohttp.web_app", "configparser", "hypothesis", "pytest", "unittest")
@@ -34,14 +34,21 @@
     now = [0.0]
     site = platform()
     cluster = Cluster(5, {}, dict(TYPES), 0.0, site.lease_s)
-    layout = Layout(site.value_bytes, site.txn_ops)
-    term = Term(site, Tuning(), cluster, layout, random.Random(1), lambda: now[0], lambda: now[0], brand_new=True)
+    term = new_term(site, cluster, now)
     for number in range(machines):
         zone = ("north", "south")[number % 2]
         cluster.observe(Report(f"vm-{number}", "h", "big", zone, False, 1, 1, 5, ()), 0.0)
     return term, now
 
 
+def accept_all(term: Term) -> None:
+    """Commit all submissions that wait, and place none of them."""
+    term.pacing.place_from = float("inf")
+    for number in range(1, 9):
+        batch = term.build()
+        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+
+
 def test_sizing_looks_at_kinds_of_jobs_and_machines_not_at_each_of_them() -> None:
     """Guards against rounds of sizing that grow with the queue: they were a quarter of a leader's processor time."""
     term, _ = fleet(200)
@@ -52,10 +59,7 @@
         term.admission.submit(Ticket(lambda view: None, job(number, rank=rank, crew="blue", **wide)))
     gang = job(50, rig="group", together=True, crew="blue", **(wide | {"hands": 2, "accelerators": 0.0}))
     term.admission.submit(Ticket(lambda view: None, gang))
-    term.pacing.place_from = float("inf")
-    for number in range(1, 9):
-        batch = term.build()
-        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+    accept_all(term)
     assert len(term.queue.queued().jobs) == 41
     demands = term.demand.queued()
     # The team's limit of six accelerators leaves room for one of these.
@@ -69,10 +73,7 @@
     for number in range(1, 31):
         spec = job(number, hands=1 + number % 3, accelerators=0.0, rank=("high", "standard")[number % 2])
         term.admission.submit(Ticket(lambda view: None, spec))
-    term.pacing.place_from = float("inf")
-    for number in range(1, 9):
-        batch = term.build()
-        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+    accept_all(term)
     jobs = term.queue.queued().jobs
     assert len(jobs) == 30
     demands = term.demand.queued()
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -544,6 +545,21 @@
         """Machines that are not gone."""
         return [worker for worker in self.workers.values() if not worker.gone]
 
+    def listed_machines(self, address: Callable[[str], str]) -> list[dict[str, Any]]:
+        """Return the cloud's list of machines that are not gone, each at the address made of its name."""
+        return [
+            {
+                "nameId": worker.name,
+                "addr": address(worker.name),
+                "build": worker.kind.name,
+                "harbor": worker.zone,
+                "driftwood": worker.spot,
+                "bearing": "running",
+                "ageS": 1.0,
+            }
+            for worker in self.alive()
+        ]
+
     def on_machines(self) -> list[tuple[PlainWorker, Running]]:
         """Every task that is on a machine."""
         return [(worker, task) for worker in self.alive() for task in worker.tasks.values() if task.state != "exited"]
