--- a/driftcleat/cli/__init__.py
+++ b/driftcleat/cli/__init__.py
@@ -1,5 +1,22 @@
 """The command line."""
 
-from .main import main
+import sys
 
-__all__ = ["main"]
+# How a platform starts a controller; the one way to be called that has to be fast.
+CONFIG_OPTION = "--config"
+
+
+def run() -> None:
+    """Run the command that the arguments name."""
+    match sys.argv[1:]:
+        case [option, config] if option == CONFIG_OPTION:
+            from .serve import serve
+
+            serve(config, None)
+        case _:
+            from .commands import main
+
+            main()
+
+
+__all__ = ["run"]
--- a/driftcleat/cli/main.py
+++ b/driftcleat/cli/commands.py
@@ -1,33 +1,12 @@
 """`run.py --config FILE` serves; `check` looks at settings only; `status` asks a running controller."""
 
-import gc
-import logging
-import os
 import sys
 
 import click
 
 from driftcleat import __version__
-from driftcleat.settings import Platform, SettingsError, Tuning, load_platform, load_tuning
 
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
-
-
-def _load(config: str, ini: str | None) -> tuple[Platform, Tuning]:
-    try:
-        return load_platform(config), load_tuning(ini or os.environ.get("DRIFTCLEAT_INI"))
-    except SettingsError as error:
-        click.echo(f"driftcleat: {error}", err=True)
-        sys.exit(2)
-
-
-def _set_up_log() -> None:
-    name = os.environ.get("LOG_LEVEL", "info").lower()
-    if name not in LEVELS:
-        click.echo(f"driftcleat: LOG_LEVEL: must be one of {', '.join(LEVELS)}", err=True)
-        sys.exit(2)
-    logging.basicConfig(stream=sys.stderr, level=LEVELS[name], format="%(levelname).1s %(name)s: %(message)s")
-    logging.getLogger("asyncio").setLevel(max(logging.WARNING, LEVELS[name]))
+from .serve import fail, load_settings, serve
 
 
 @click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
@@ -42,31 +21,7 @@
     if config is None:
         click.echo(context.get_help())
         sys.exit(2)
-    _set_up_log()
-    platform, tuning = _load(config, ini)
-    _serve(platform, tuning)
-
-
-def _serve(platform: Platform, tuning: Tuning) -> None:
-    import uvloop
-
-    from driftcleat.controller import Controller
-
-    # What is loaded now stays: the collector, off until here, need not look at it.
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 20)
-    gc.enable()
-
-    async def run() -> None:
-        await Controller(platform, tuning).run()
-
-    try:
-        uvloop.run(run())
-    except OSError as error:
-        click.echo(f"driftcleat: {platform.bind} or {platform.back}: {error}", err=True)
-        sys.exit(1)
-    except KeyboardInterrupt:
-        sys.exit(130)
+    serve(config, ini)
 
 
 @main.command()
@@ -74,7 +29,7 @@
 @click.option("--ini", metavar="FILE", help="The operators' own settings (INI).")
 def check(config: str, ini: str | None) -> None:
     """Check settings without serving."""
-    platform, _ = _load(config, ini)
+    platform, _ = load_settings(config, ini)
     click.echo(f"driftcleat: {config}: ok, controller {platform.label} of {len(platform.peers) + 1}")
 
 
@@ -92,8 +47,7 @@
         with urllib.request.urlopen(f"http://{address}/status", timeout=5) as response:
             data = json.load(response)
     except (OSError, ValueError, urllib.error.URLError) as error:
-        click.echo(f"driftcleat: {address}: cannot be reached: {error}", err=True)
-        sys.exit(1)
+        fail(f"{address}: cannot be reached: {error}", 1)
     if as_json:
         click.echo(json.dumps(data, indent=2))
         return
--- /dev/null
+++ b/driftcleat/cli/serve.py
@@ -0,0 +1,61 @@
+"""Serves with the settings of a file. Kept apart from the other commands, whose library serving need not wait for."""
+
+import gc
+import logging
+import os
+import sys
+from typing import NoReturn
+
+from driftcleat.settings import Platform, SettingsError, Tuning, load_platform, load_tuning
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def serve(config: str, ini: str | None) -> None:
+    """Serve until the process is ended."""
+    _set_up_log()
+    platform, tuning = load_settings(config, ini)
+    _run(platform, tuning)
+
+
+def load_settings(config: str, ini: str | None) -> tuple[Platform, Tuning]:
+    """Return the platform's and the operators' settings; wrong ones end the program."""
+    try:
+        return load_platform(config), load_tuning(ini or os.environ.get("DRIFTCLEAT_INI"))
+    except SettingsError as error:
+        fail(str(error), 2)
+
+
+def fail(why: str, status: int) -> NoReturn:
+    """End the program with one line that says why."""
+    print(f"driftcleat: {why}", file=sys.stderr)
+    sys.exit(status)
+
+
+def _set_up_log() -> None:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    if name not in LEVELS:
+        fail(f"LOG_LEVEL: must be one of {', '.join(LEVELS)}", 2)
+    logging.basicConfig(stream=sys.stderr, level=LEVELS[name], format="%(levelname).1s %(name)s: %(message)s")
+    logging.getLogger("asyncio").setLevel(max(logging.WARNING, LEVELS[name]))
+
+
+def _run(platform: Platform, tuning: Tuning) -> None:
+    import uvloop
+
+    from driftcleat.controller import Controller
+
+    # What is loaded now stays: the collector, off until here, need not look at it.
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
+    gc.enable()
+
+    async def run() -> None:
+        await Controller(platform, tuning).run()
+
+    try:
+        uvloop.run(run())
+    except OSError as error:
+        fail(f"{platform.bind} or {platform.back}: {error}", 1)
+    except KeyboardInterrupt:
+        sys.exit(130)
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -6,8 +6,6 @@
 import time
 from collections.abc import Awaitable, Callable
 
-import aiohttp
-
 from driftcleat import wire
 from driftcleat.api import Answer, Listener, ReportApi, UserApi, serve
 from driftcleat.api.server import Reply
@@ -16,7 +14,7 @@
 from driftcleat.fleet.manager import FleetManager
 from driftcleat.leadership import CurrentTerm, Election, PeerSurvey
 from driftcleat.metrics import Metrics
-from driftcleat.net import SocketBudget
+from driftcleat.net import HttpClient, SocketBudget
 from driftcleat.peers import PeerClient
 from driftcleat.peers.server import PeerApi
 from driftcleat.peers.survey import PeerSurveyor
@@ -65,7 +63,7 @@
         """Serve for ever."""
         platform = self.platform
         sockets = SocketBudget(platform.fd_limit, len(platform.peers))
-        sessions = self.connect(sockets)
+        clients = self.connect(sockets)
         self._assemble()
         servers = await self.listen(sockets)
         if platform.memory_mb < LEAST_MEMORY_MB:
@@ -79,22 +77,22 @@
         finally:
             for server in servers:
                 await server.cleanup()
-            for session in sessions:
-                await session.close()
+            for client in clients:
+                await client.close()
 
-    def connect(self, sockets: SocketBudget) -> list[aiohttp.ClientSession]:
+    def connect(self, sockets: SocketBudget) -> list[HttpClient]:
         """Make the clients; return what is to be closed in the end."""
         platform = self.platform
         # Each use has connections of its own: what hangs in one takes none from another.
-        store, lease, cloud, peers, workers = sessions = [
-            part.session(platform.lease_s)
+        store, lease, cloud, peers, workers = clients = [
+            part.client(platform.lease_s)
             for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers, sockets.workers)
         ]
         self.store = StoreClient(store, lease, platform.state, self.store_limits, self.clock)
         self.cloud = CloudClient(cloud, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
         self.peers = PeerClient(peers, platform)
         self.workers = WorkerClient(workers, platform.report_s, sockets.workers.total)
-        return sessions
+        return clients
 
     @property
     def store_limits(self) -> StoreLimits:
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import aiohttp
-
 from driftcleat import wire
 from driftcleat.errors import DriftcleatError
+from driftcleat.net import HttpClient, HttpError
 from driftcleat.store.client import TokenBucket
 from driftcleat.wire import cloud as messages
 
@@ -29,9 +28,9 @@
     """Speaks to the cloud."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, rps: float, timeout_s: float, clock: Callable[[], float]
+        self, client: HttpClient, address: str, rps: float, timeout_s: float, clock: Callable[[], float]
     ) -> None:
-        self.session, self.base, self.timeout_s, self.clock = session, f"http://{address}", timeout_s, clock
+        self.client, self.address, self.timeout_s, self.clock = client, address, timeout_s, clock
         self.malformed = 0
         # The cloud permits bursts worth two seconds.
         self.requests = TokenBucket(rps * 0.9, clock, burst_s=2.0)
@@ -42,7 +41,7 @@
         self.requests.take(1)
         try:
             status, data = await self._exchange(method, path, body)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (HttpError, TimeoutError) as error:
             raise CloudError(f"no answer: {error!r}") from None
         if status == 503 and b"no capacity" in data:
             raise NoCapacityError(data.decode("utf-8", "replace"))
@@ -57,10 +56,8 @@
 
     async def _exchange(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        async with self.session.request(
-            method, self.base + path, data=body, timeout=aiohttp.ClientTimeout(total=self.timeout_s)
-        ) as response:
-            return response.status, await response.read()
+        answer = await self.client.request(method, self.address, path, body, self.timeout_s)
+        return answer.status, answer.body
 
     async def types(self) -> tuple[messages.MachineType, ...]:
         """Return the types on offer."""
--- a/driftcleat/net/budget.py
+++ b/driftcleat/net/budget.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-import aiohttp
+from .http_client import HttpClient
 
 # The event loop, the log, the listeners and what the libraries keep open.
 OWN = 24
@@ -18,17 +18,9 @@
     total: int
     each: int
 
-    def session(self, keep_s: float) -> aiohttp.ClientSession:
-        """Return a client that keeps to it; idle connections are closed after a while."""
-        connector = aiohttp.TCPConnector(
-            limit=self.total, limit_per_host=self.each, keepalive_timeout=keep_s, use_dns_cache=False
-        )
-        return aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            headers={"Content-Type": "application/json"},
-            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
-        )
+    def client(self, keep_s: float) -> HttpClient:
+        """Return a client that keeps to it; what is idle for longer is not used again."""
+        return HttpClient(self.total, self.each, keep_s)
 
 
 class SocketBudget:
--- a/driftcleat/peers/client.py
+++ b/driftcleat/peers/client.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
-import aiohttp
-
 from driftcleat import wire
 from driftcleat.errors import DriftcleatError
+from driftcleat.net import HttpClient, HttpError
 from driftcleat.settings import Platform
 from driftcleat.store.records import DATA_VERSION
 from driftcleat.wire import peers as messages
@@ -20,8 +19,8 @@
 class PeerClient:
     """Speaks to the other controllers."""
 
-    def __init__(self, session: aiohttp.ClientSession, platform: Platform) -> None:
-        self.session = session
+    def __init__(self, client: HttpClient, platform: Platform) -> None:
+        self.client = client
         self.label = platform.label
         self.addresses = {peer.label: peer.address for peer in platform.peers}
 
@@ -32,7 +31,7 @@
             raise PeerError(f"unknown controller {label}")
         try:
             status, data = await self._exchange(address, wire.encode(message), timeout_s)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (HttpError, TimeoutError) as error:
             raise PeerError(f"no answer: {error!r}") from None
         if status != 200:
             raise PeerError(f"status {status}")
@@ -43,10 +42,8 @@
 
     async def _exchange(self, address: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        async with self.session.post(
-            f"http://{address}{PATH}", data=body, timeout=aiohttp.ClientTimeout(total=timeout_s)
-        ) as response:
-            return response.status, await response.read()
+        answer = await self.client.request("POST", address, PATH, body, timeout_s)
+        return answer.status, answer.body
 
     async def ping(self, labels: list[str], timeout_s: float) -> list[messages.Pong]:
         """Ask controllers who leads; those that answer are returned."""
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
-
-import aiohttp
+from urllib.parse import quote, urlencode
 
 from driftcleat import wire
 from driftcleat.errors import DriftcleatError
+from driftcleat.net import ConnectError, HttpClient, HttpError
 from driftcleat.wire import state as messages
 
 log = logging.getLogger(__name__)
@@ -94,14 +94,14 @@
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
-        lease_session: aiohttp.ClientSession,
+        client: HttpClient,
+        lease_client: HttpClient,
         address: str,
         limits: StoreLimits,
         clock: Callable[[], float],
     ) -> None:
-        self.session, self.lease_session = session, lease_session
-        self.base, self.limits, self.clock = f"http://{address}", limits, clock
+        self.client, self.lease_client = client, lease_client
+        self.address, self.limits, self.clock = address, limits, clock
         self.requests = TokenBucket(limits.rps * 0.9, clock)
         self.writes = TokenBucket(limits.write_rps * 0.9, clock)
         self.served_at: float | None = None
@@ -129,10 +129,10 @@
             status, data = await self._exchange(
                 method, path, body, params, timeout_s or self.limits.timeout_s, urgent
             )
-        except aiohttp.ClientConnectorError as error:
+        except ConnectError as error:
             self.refused_at = self.clock()
             raise RefusedError(f"no connection: {error}") from None
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (HttpError, TimeoutError) as error:
             self.refused_at = self.clock()
             raise UnknownOutcomeError(f"no answer: {error!r}") from None
         if status == 429:
@@ -159,11 +159,10 @@
         urgent: bool,
     ) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        session = self.lease_session if urgent else self.session
-        async with session.request(
-            method, self.base + path, data=body, params=params, timeout=aiohttp.ClientTimeout(total=timeout_s)
-        ) as response:
-            return response.status, await response.read()
+        client = self.lease_client if urgent else self.client
+        target = quote(path) + (f"?{urlencode(params)}" if params else "")
+        answer = await client.request(method, self.address, target, body, timeout_s)
+        return answer.status, answer.body
 
     def _bad(self, why: str) -> MalformedError:
         self.malformed += 1
--- a/driftcleat/workers/commands.py
+++ b/driftcleat/workers/commands.py
@@ -6,9 +6,8 @@
 import asyncio
 import logging
 
-import aiohttp
-
 from driftcleat import wire
+from driftcleat.net import HttpClient, HttpError
 from driftcleat.wire.workers import DirectOrders, Report, Signal
 
 log = logging.getLogger(__name__)
@@ -21,8 +20,8 @@
     waits for behind hundreds of calls to machines that are gone, each taking its full time.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, timeout_s: float, at_once: int) -> None:
-        self.session, self.timeout_s = session, timeout_s
+    def __init__(self, client: HttpClient, timeout_s: float, at_once: int) -> None:
+        self.client, self.timeout_s = client, timeout_s
         self.prompt, self.likely_unreachable = (
             asyncio.Semaphore(max(1, at_once // 2)),
             asyncio.Semaphore(max(1, at_once // 2)),
@@ -53,13 +52,13 @@
             status, data = await self._exchange(addr, body, timeout_s)
             if status == 409:
                 return wire.decode(data, Report)
-        except (aiohttp.ClientError, TimeoutError, OSError, wire.WireError) as error:
+        except (HttpError, TimeoutError, wire.WireError) as error:
             log.debug("worker %s: %r", addr, error)
         return None
 
     async def _exchange(self, addr: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
         """Send one request; return status and body."""
-        async with self.session.post(
-            f"http://{addr}/commands", data=body, timeout=aiohttp.ClientTimeout(total=timeout_s)
-        ) as response:
-            return response.status, await response.read()
+        # Several workers may be behind one port, told apart by the path in their address.
+        host, slash, path = addr.partition("/")
+        answer = await self.client.request("POST", host, f"{slash}{path}/commands", body, timeout_s)
+        return answer.status, answer.body
--- a/run.py
+++ b/run.py
@@ -20,7 +20,7 @@
     if os.path.isdir(part):
         sys.path.insert(0, part)
 
-from driftcleat.cli import main  # noqa: E402  (the path is set up above)
+from driftcleat.cli import run  # noqa: E402  (the path is set up above)
 
 if __name__ == "__main__":
-    main()
+    run()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,7 +7,8 @@
 
 from driftcleat.api import Answer, Listener, serve
 from driftcleat.api import server as server_module
-from driftcleat.api.server import Reply, encode_answer
+from driftcleat.api.answers import encode_answer
+from driftcleat.api.server import Reply
 
 from .standins import free_port
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 import pytest
 from click.testing import CliRunner
 
-from driftcleat.cli import main
+from driftcleat.cli.commands import main
 from driftcleat.settings import SettingsError, Tuning, load_tuning
 from driftcleat.settings.platform import parse_platform
 
