--- a/driftcleat/api/reports.py
+++ b/driftcleat/api/reports.py
@@ -7,7 +7,7 @@
 from driftcleat import wire
 from driftcleat.leadership import CurrentTerm
 from driftcleat.metrics import Metrics
-from driftcleat.model import Machine
+from driftcleat.model import Machine, commands_for
 from driftcleat.settings import Platform, Tuning
 from driftcleat.term import Term
 from driftcleat.wire.workers import EXITED, Orders, Redirect, Report, Signal, split_task
@@ -86,7 +86,7 @@
         if self._current.term is not term or not election.answers_workers:
             return _redirect_to(None)
         began = self._clock()
-        answer = _orders(election.token, term.cluster.orders(machine, report, election.may_start))
+        answer = _orders(election.token, commands_for(term.cluster, machine, report, election.may_start))
         ended = self._clock()
         self._metrics.spent("orders", ended - began)
         self._metrics.report_ms.record(ended - started)
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -1,7 +1,7 @@
-"""The leader's picture of one term: committed jobs, machines and their reports, and what follows from them.
+"""The leader's picture of one term: committed jobs, machines and their reports.
 
-Nothing here does I/O. A report is taken in by `observe`, what it proves is put into a batch by
-`reconcile`, the batch is made visible by `commit`, and `orders` says what a worker is told.
+Nothing here does I/O. A report is taken in by `observe`, what it proves is put into a batch by `reconciliation`, the
+batch is made visible by `commit`, and `commands` says what a worker is told.
 """
 
 import logging
@@ -9,37 +9,21 @@
 
 from driftcleat.wire import workers as wire_workers
 from driftcleat.wire.cloud import MachineType
-from driftcleat.wire.users import JobView, Submission
-from driftcleat.wire.workers import Report, Signal
+from driftcleat.wire.users import JobView
+from driftcleat.wire.workers import Report
 
 from .batch import Batch
-from .jobs import Job, JobState, Place, TaskState
+from .jobs import Job, JobState, Place
 from .machines import Machine, MachineState, change_machine
 from .needs import NO_DEADLINE, NeedsGraph, Urgency
+from .untracked import UntrackedTasks
+from .usage import Usage
 
 log = logging.getLogger(__name__)
 
 AttemptKey = tuple[str, int, int]
 
 
-class Usage:
-    """What a team's tasks may be using, by possible presence."""
-
-    __slots__ = ("cpus", "gpus", "tasks")
-
-    def __init__(self) -> None:
-        self.cpus = self.gpus = 0.0
-        self.tasks = 0
-
-    def add(self, spec: Submission, sign: int) -> None:
-        """Count a task in or out."""
-        self.tasks += sign
-        self.cpus += sign * spec.cpus
-        self.gpus += sign * spec.gpus
-        if self.tasks == 0:
-            self.cpus = self.gpus = 0.0
-
-
 class Cluster:
     """One term's picture."""
 
@@ -58,13 +42,14 @@
         self.needs = NeedsGraph()
         # When a job that waited for others became ready, on this controller's clock.
         self.ready_at: dict[str, float] = {}
+        # Cancelled jobs of which tasks may still be somewhere.
+        self.cancelled: set[str] = set()
         self.types = types
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, float] = {}
         self.usage: dict[str, Usage] = {}
         self.dirty: set[str] = set()
-        # Attempts on machines that no record knows: the task must not start elsewhere while one is there.
-        self.untracked: dict[tuple[str, int], str] = {}
+        self.untracked = UntrackedTasks()
         self.retry_at: dict[str, float] = {}
         self.failures: dict[str, int] = {}
         # Tasks of machines that have not reported in this term, by machine name.
@@ -85,6 +70,7 @@
         for job in jobs.values():
             if job.state is JobState.CANCELLED:
                 self.needs.cancelled(job.id)
+                self.cancelled.add(job.id)
         # Attempts that the batch under way takes off their machines.
         self.leaving: set[AttemptKey] = set()
         # Jobs whose cancellation may have been committed: nobody can say before the store answers again.
@@ -146,7 +132,11 @@
             if (report.session, report.seq) <= last:
                 # A report held back by a cut: its task list is as old as itself.
                 return None
+        if known is not None and known.steady and _repeats(report, known.report):
+            known.report, known.heard_at = report, now
+            return known
         machine = self.adopt(report.machine, report.type, report.zone, report.spot, report.addr, now)
+        machine.steady = False
         self._note_acknowledgement(machine, report, now)
         if machine.state is MachineState.BOOTING:
             change_machine(machine, MachineState.UP)
@@ -213,7 +203,7 @@
                 live.add(split)
                 place = machine.tasks.get(split)
                 if place is None or place.attempt != task.attempt:
-                    self.untracked[split] = machine.name
+                    self.untracked.note(split, machine.name)
                 elif machine.phases.get(split) != task.state:
                     machine.phases[split] = task.state
                     log.debug("task %s on %s: %s", task.task, machine.name, task.state)
@@ -222,8 +212,7 @@
                         machine.fetched.add(image)
                         self.on_image(machine)
         machine.reported = reported
-        for key in [key for key, name in self.untracked.items() if name == machine.name and key not in live]:
-            del self.untracked[key]
+        self.untracked.keep_only(machine.name, live)
         self.dirty.add(machine.name)
 
     def _open_question(self, machine: Machine) -> bool:
@@ -243,80 +232,12 @@
             change_machine(machine, MachineState.RETURNING)
         change_machine(machine, MachineState.GONE)
         self.gone[machine.name] = now
-        for key in [key for key, name in self.untracked.items() if name == machine.name]:
-            del self.untracked[key]
+        self.untracked.keep_only(machine.name, set())
         if machine.tasks:
             self.dirty.add(machine.name)
         else:
             del self.machines[machine.name]
 
-    # -- what reports prove -------------------------------------------------------------------------------
-
-    def reconcile(self, machine: Machine, batch: Batch, now: float) -> bool:
-        """Put into the batch what the newest report proves; False if the batch was too full for some of it.
-
-        What lies in records that the batch changes anyway still finds room: under low limits, where a batch holds two
-        records, that is most of what a burst of exits has to say.
-        """
-        if machine.state is MachineState.GONE:
-            return self._all_lost(machine, batch)
-        report = machine.report
-        if report is None or not machine.trusted:
-            return True
-        order = (report.session, report.seq)
-        exits = {(task.task, task.attempt): task for task in report.tasks if task.state == wire_workers.EXITED}
-        whole = True
-        for key, place in list(machine.tasks.items()):
-            job = batch.get(key[0])
-            if job is None or job.places.get(key[1]) is None:
-                continue
-            attempt = (key[0], key[1], place.attempt)
-            state = machine.reported.get(attempt)
-            if state is None:
-                whole = self._absent(machine, job, key, place, order, batch) and whole
-                continue
-            machine.seen.add(attempt)
-            if state != wire_workers.EXITED:
-                continue
-            if not batch.has_room_at(job, key[1]):
-                whole = batch.awaits_migration(job) and whole
-                continue
-            exited = exits[(wire_workers.task_name(*key), place.attempt)]
-            self._exited(machine, job, key[1], exited.why or wire_workers.ERROR, batch, now)
-        return whole
-
-    def _all_lost(self, machine: Machine, batch: Batch) -> bool:
-        whole = True
-        for key in list(machine.tasks):
-            job = batch.get(key[0])
-            if job is None or job.places.get(key[1]) is None:
-                continue
-            if not batch.has_room_at(job, key[1]):
-                whole = batch.awaits_migration(job) and whole
-                continue
-            self._leave(batch, job, key[1])
-        return whole
-
-    def _absent(
-        self, machine: Machine, job: Job, key: tuple[str, int], place: Place, order: tuple[int, int], batch: Batch
-    ) -> bool:
-        """A task its machine does not list: proven off only if no start of it can still arrive."""
-        attempt = (key[0], key[1], place.attempt)
-        offered = machine.offered.get(attempt)
-        if offered is not None and offered >= order:
-            return True
-        unwanted = job.state is not JobState.ACTIVE or job.places[key[1]].stop is not None
-        draining = machine.state is not MachineState.UP
-        # A gang cannot take a lost task back under the same attempt once it has started.
-        lost = job.is_gang and attempt in machine.seen
-        unresponsive = machine.unacknowledged > 1
-        if not (unwanted or draining or lost or unresponsive):
-            return True
-        if not batch.has_room_at(job, key[1]):
-            return batch.awaits_migration(job)
-        self._leave(batch, job, key[1])
-        return True
-
     def may_be_there(self, key: tuple[str, int], place: Place) -> bool:
         """Whether the newest report leaves it open that a placed task is on its machine.
 
@@ -333,42 +254,9 @@
             return offered is not None and offered >= (machine.report.session, machine.report.seq)
         return state != wire_workers.EXITED
 
-    def _exited(self, machine: Machine, job: Job, index: int, why: str, batch: Batch, now: float) -> None:
-        if why == wire_workers.DONE:
-            batch.move(job.id, index, TaskState.DONE)
-            batch.settle(job.id)
-            self.failures.pop(job.id, None)
-            machine.failed_jobs.clear()
-        else:
-            self._leave(batch, job, index)
-            if why in (wire_workers.ERROR, wire_workers.UNKNOWN, wire_workers.BUSY):
-                self._count_failure(machine, job, now, why == wire_workers.ERROR)
-            elif why == wire_workers.NO_ROOM:
-                # Our sums and the worker's differ: let it report again before it gets more.
-                machine.full_until = max(machine.full_until, now + 2.0)
-        log.debug("task %s/%d left %s: %s", job.id, index, machine.name, why)
-        self.on_exit(machine, job, why)
-
-    def _count_failure(self, machine: Machine, job: Job, now: float, blame: bool) -> None:
-        count = self.failures.get(job.id, 0) + 1
-        self.failures[job.id] = count
-        # A job with a mistake fails everywhere: it must not circle through all machines at full speed.
-        self.retry_at[job.id] = now + min(60.0, 0.5 * 2 ** min(count, 10))
-        if blame:
-            machine.failed_jobs.add(job.id)
-
-    def _leave(self, batch: Batch, job: Job, index: int) -> None:
-        """A task is proven off its machine without being done; the rest of its gang must go too."""
-        batch.move(job.id, index, TaskState.QUEUED)
-        fresh = batch.jobs[job.id]
-        if fresh.is_gang and fresh.state is JobState.ACTIVE:
-            for other in list(fresh.places):
-                batch.stop(job.id, other, 0.0)
-        batch.settle(job.id)
-
     def news(self, machine: Machine) -> bool:
         """Whether the machine's newest report has exits that are not committed yet."""
-        return any(
+        return not machine.steady and any(
             state == wire_workers.EXITED and key[:2] in machine.tasks and machine.tasks[key[:2]].attempt == key[2]
             for key, state in machine.reported.items()
         )
@@ -387,15 +275,30 @@
         self._commit_needs(batch, now)
         self._commit_moves(batch, now)
         for job_id in batch.heads:
-            if batch.jobs[job_id].state in (JobState.DONE, JobState.GONE):
-                del self.jobs[job_id]
-                self.retry_at.pop(job_id, None)
-                self.failures.pop(job_id, None)
+            self._commit_state(batch.jobs[job_id])
         for name in {place.machine for _, _, old, new in batch.moves for place in (old, new) if place}:
             machine = self.machines.get(name)
             if machine is not None and machine.state is MachineState.GONE and not machine.tasks:
                 del self.machines[name]
 
+    def _commit_state(self, job: Job) -> None:
+        """A job's state may have changed: its machines are told what follows, or it is over."""
+        if job.state is JobState.CANCELLED:
+            self.cancelled.add(job.id)
+            self.recheck(job)
+        elif job.state in (JobState.DONE, JobState.GONE):
+            self.cancelled.discard(job.id)
+            del self.jobs[job.id]
+            self.retry_at.pop(job.id, None)
+            self.failures.pop(job.id, None)
+
+    def recheck(self, job: Job) -> None:
+        """What a job's machines are told may differ now, although they report what they did before."""
+        for place in job.places.values():
+            machine = self.machines.get(place.machine)
+            if machine is not None:
+                machine.steady = False
+
     def _commit_moves(self, batch: Batch, now: float) -> None:
         """Count tasks where they are now, on their machines and in their team's usage."""
         for job_id, index, old, new in batch.moves:
@@ -440,60 +343,7 @@
             self._note_urgency(self.needs.remove(job_id))
             self.ready_at.pop(job_id, None)
 
-    # -- what workers are told ----------------------------------------------------------------------------
-
-    def orders(self, machine: Machine, report: Report, starts: bool = True) -> list[Signal]:
-        """Return the commands that answer a machine's newest report; starts are noted as offered.
-
-        Without `starts` only what ends work: for a leader that cannot tell whether another has led since.
-        """
-        if machine.report is not report:
-            return []
-        machine.answered = (report.session, report.seq)
-        signals: list[Signal] = []
-        for task in report.tasks:
-            split = wire_workers.split_task(task.task)
-            place = machine.tasks.get(split) if split is not None else None
-            expected = place is not None and place.attempt == task.attempt
-            if task.state == wire_workers.EXITED:
-                # An exit is forgotten only once it is committed: its place is gone from the records then.
-                if not expected:
-                    signals.append(Signal(wire_workers.FORGET, task.task, task.attempt))
-            elif not expected:
-                signals.append(Signal(wire_workers.STOP, task.task, task.attempt, 0.0))
-        signals.extend(self.stops(machine))
-        if machine.state is not MachineState.UP or not starts:
-            return signals
-        for key, place in machine.tasks.items():
-            job = self.jobs.get(key[0])
-            attempt = (key[0], key[1], place.attempt)
-            if job is None or self._cancelled(job) or place.stop is not None:
-                continue
-            if attempt in self.leaving:
-                # Guards against a task that ran twice, seen in the random walk: its machine was back at once, the
-                # batch that gave its place up waited for the store, and the next report was told to start it again.
-                continue
-            if attempt in machine.reported or (job.is_gang and attempt in machine.seen):
-                continue
-            if machine.unacknowledged > 1:
-                continue
-            machine.offered[attempt] = (report.session, report.seq)
-            signals.append(Signal(wire_workers.START, wire_workers.task_name(*key), place.attempt))
-        return signals
-
-    def stops(self, machine: Machine) -> list[Signal]:
-        """Return the stops that hold for a machine's tasks."""
-        signals = []
-        for key, place in machine.tasks.items():
-            job = self.jobs.get(key[0])
-            if job is None:
-                continue
-            grace = 0.0 if self._cancelled(job) else place.stop
-            if grace is not None and machine.phases.get(key) != wire_workers.EXITED:
-                signals.append(Signal(wire_workers.STOP, wire_workers.task_name(*key), place.attempt, grace))
-        return signals
-
-    def _cancelled(self, job: Job) -> bool:
+    def runs_no_more(self, job: Job) -> bool:
         """Whether a job's tasks are to run no more."""
         return job.state is not JobState.ACTIVE or job.id in self.unconfirmed_cancellations
 
@@ -519,3 +369,14 @@
     deadline_s = job.spec.deadline_s
     due = NO_DEADLINE if deadline_s is None else job.submitted + deadline_s
     return Urgency(job.spec.rank.level, due, job.spec.estimate_s)
+
+
+def _repeats(report: Report, previous: Report | None) -> bool:
+    """Whether a report says nothing that the one before it did not say."""
+    return (
+        previous is not None
+        and report.notice_s is None
+        and report.session == previous.session
+        and report.token == previous.token
+        and report.tasks == previous.tasks
+    )
--- a/driftcleat/model/machines.py
+++ b/driftcleat/model/machines.py
@@ -59,6 +59,7 @@
         "seen",
         "spot",
         "state",
+        "steady",
         "tasks",
         "trusted",
         "type",
@@ -83,6 +84,9 @@
         self.fetched: set[str] = set()
         self.report: Report | None = None
         self.trusted = False
+        # Whether its newest report shows all that is committed and nothing else, so that there is nothing to tell
+        # it: an equal report need not be looked at until something changes.
+        self.steady = False
         # What the newest report says of each attempt: (job, index, attempt) -> state.
         self.reported: dict[tuple[str, int, int], str] = {}
         # (session, seq) of the report whose answer carried the start last.
@@ -98,6 +102,7 @@
 
     def add(self, key: TaskKey, place: Place, spec: Submission) -> None:
         """Count a committed task."""
+        self.steady = False
         if key not in self.tasks:
             self.cpus += spec.cpus
             self.gpus += spec.gpus
@@ -114,6 +119,7 @@
         place = self.tasks.pop(key, None)
         if place is None:
             return
+        self.steady = False
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
--- a/driftcleat/term/cancellations.py
+++ b/driftcleat/term/cancellations.py
@@ -18,8 +18,9 @@
         """Return the jobs cancelled longer ago than this whose tasks may still be on machines, and which machines."""
         wall = self._wall()
         out: dict[str, set[str]] = {}
-        for job in self._cluster.jobs.values():
-            if job.state is not JobState.CANCELLED or wall - job.cancelled_at < older_than_s:
+        for job_id in self._cluster.cancelled:
+            job = self._cluster.jobs[job_id]
+            if wall - job.cancelled_at < older_than_s:
                 continue
             machines = {
                 place.machine
@@ -51,5 +52,6 @@
         for job_id in unconfirmed:
             job = self._cluster.jobs.get(job_id)
             if job is not None:
+                self._cluster.recheck(job)
                 self._urgent.update(place.machine for place in job.places.values())
         return True
--- a/driftcleat/term/term.py
+++ b/driftcleat/term/term.py
@@ -11,7 +11,7 @@
 from driftcleat.fleet.arrivals import Arrivals
 from driftcleat.fleet.silence import Silence
 from driftcleat.fleet.sizing import Plan
-from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState
+from driftcleat.model import Batch, Cluster, Job, JobState, Machine, MachineState, reconcile
 from driftcleat.settings import Platform, Tuning
 from driftcleat.store.records import Layout
 
@@ -170,7 +170,7 @@
         for name in list(self.cluster.dirty):
             machine = self.cluster.machines.get(name)
             waiting = set(batch.blocked)
-            if machine is not None and not self.cluster.reconcile(machine, batch, now):
+            if machine is not None and not reconcile(self.cluster, machine, batch, now):
                 if self.clock() - now > self.pacing.budget_s:
                     return
             elif batch.blocked == waiting:
--- a/driftcleat/workers/dispatch.py
+++ b/driftcleat/workers/dispatch.py
@@ -6,6 +6,7 @@
 
 from driftcleat.background import Background
 from driftcleat.leadership import CurrentTerm
+from driftcleat.model import stop_commands
 from driftcleat.settings import Platform, Tuning
 from driftcleat.term import Term
 from driftcleat.wire.workers import Signal
@@ -60,7 +61,7 @@
         machine = term.cluster.machines.get(name)
         if machine is None or machine.report is None or not machine.addr:
             return
-        signals = term.cluster.stops(machine)
+        signals = stop_commands(term.cluster, machine)
         if signals:
             unlikely = term.reachability.likely_unreachable(machine, self._clock())
             sending = self._send(machine.addr, machine.report.session, term.cluster.token, signals, unlikely)
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from driftcleat.fleet.sizing import CandidatePool, Demand, plan_fleet
-from driftcleat.model import Cluster, Job, MachineState
+from driftcleat.model import Cluster, Job, MachineState, commands_for
 from driftcleat.placement.candidates import Candidate, allowed, capacity, fits, spread_limit
 from driftcleat.placement.engine import Limits, PlacementRound
 from driftcleat.store.records import RentalRecord
@@ -44,7 +44,7 @@
     first = Report("vm-2", "h:2", "big", "north", False, 1, 1, 0, ())
     machine = term.cluster.observe(first, now[0])
     assert machine is not None and not term.candidates.takes_tasks(machine, now[0])
-    term.cluster.orders(machine, first)
+    commands_for(term.cluster, machine, first)
     heard = Report("vm-2", "h:2", "big", "north", False, 1, 2, 5, ())
     assert term.cluster.observe(heard, now[0]) is machine and term.candidates.takes_tasks(machine, now[0])
 
@@ -67,7 +67,7 @@
     for seq in (2, 3):
         newest = report(seq)
         term.cluster.observe(newest, now[0])
-        term.cluster.orders(machine, newest)
+        commands_for(term.cluster, machine, newest)
     assert machine.unacknowledged == 1
     attempt = term.cluster.jobs["req-000001"].places[0].attempt
     term.cluster.observe(report(4, TaskReport("req-000001/0", attempt, "running")), now[0])
@@ -117,11 +117,11 @@
     early = report(2)
     machine = term.cluster.observe(early, 1.0)
     assert machine is not None
-    assert [signal.op for signal in term.cluster.orders(machine, early)] == ["start"]
+    assert [signal.op for signal in commands_for(term.cluster, machine, early)] == ["start"]
     term.cluster.observe(report(3, running), 2.0)
     for late in (early, report(2, TaskReport("req-000001/0", attempt, "exited", "done")), report(1, session=1)):
         assert term.cluster.observe(late, 50.0) is None
-        assert term.cluster.orders(machine, late) == []
+        assert commands_for(term.cluster, machine, late) == []
     commit(term)
     assert machine.heard_at == 2.0, "it revives nothing"
     assert term.cluster.jobs["req-000001"].done == 0 and term.cluster.jobs["req-000001"].places
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,17 @@
 from driftcleat.fleet.arrivals import Arrivals
 from driftcleat.fleet.sizing import Demand, Plan, plan_fleet
 from driftcleat.leadership.lease import LeaseClock
-from driftcleat.model import Cluster, IllegalMoveError, Job, JobState, Place, TaskState, change_job, change_task
+from driftcleat.model import (
+    Cluster,
+    IllegalMoveError,
+    Job,
+    JobState,
+    Place,
+    TaskState,
+    change_job,
+    change_task,
+    commands_for,
+)
 from driftcleat.placement.candidates import Candidate, allowed, fits
 from driftcleat.placement.engine import Limits, PlacementRound
 from driftcleat.placement.order import Order
@@ -64,7 +74,7 @@
     machine = term.cluster.machines["vm-1"]
     newest = report(2)
     assert term.cluster.observe(newest, 1.0) is machine
-    assert [signal.op for signal in term.cluster.orders(machine, newest)] == ["start"]
+    assert [signal.op for signal in commands_for(term.cluster, machine, newest)] == ["start"]
     term.admission.cancel(Ticket(lambda view: None, None, "req-000001"))
     commit(term)
     term.cluster.dirty.add("vm-1")
@@ -100,20 +110,20 @@
     machine = term.cluster.machines["vm-1"]
     first = report(2)
     term.cluster.observe(first, 1.0)
-    assert [signal.op for signal in term.cluster.orders(machine, first)] == ["start"]
+    assert [signal.op for signal in commands_for(term.cluster, machine, first)] == ["start"]
     attempt = term.cluster.jobs["req-000001"].places[0].attempt
     running = report(3, TaskReport("req-000001/0", attempt, "running"))
     term.cluster.observe(running, 1.5)
-    term.cluster.orders(machine, running)
+    commands_for(term.cluster, machine, running)
     commit(term)
     back = report(1, session=2)
     term.cluster.observe(back, 2.0)
     batch = term.build()
     assert [(old is not None, new) for _, _, old, new in batch.moves] == [(True, None)], "it is proven off"
-    term.cluster.orders(machine, back)
+    commands_for(term.cluster, machine, back)
     later = report(2, session=2)
     term.cluster.observe(later, 3.0)
-    assert term.cluster.orders(machine, later) == []
+    assert commands_for(term.cluster, machine, later) == []
     term.commit(batch, 99, [])
     assert not term.cluster.jobs["req-000001"].places and not term.cluster.leaving
 
@@ -125,9 +135,9 @@
     machine = term.cluster.machines["vm-1"]
     newest = report(2, TaskReport("req-000001/0", attempt, "exited", "done"))
     term.cluster.observe(newest, 1.0)
-    assert "forget" not in [signal.op for signal in term.cluster.orders(machine, newest)]
+    assert "forget" not in [signal.op for signal in commands_for(term.cluster, machine, newest)]
     commit(term)
-    assert [signal.op for signal in term.cluster.orders(machine, newest)] == ["forget"]
+    assert [signal.op for signal in commands_for(term.cluster, machine, newest)] == ["forget"]
     assert term.admission.lookup("req-000001") == JobView("req-000001", "done", 1, 0)
 
 
@@ -139,7 +149,7 @@
     late = report(2)
     term.cluster.observe(report(7), 1.0)
     assert term.cluster.observe(late, 2.0) is None
-    assert term.cluster.orders(machine, late) == []
+    assert commands_for(term.cluster, machine, late) == []
 
 
 def test_nothing_is_visible_before_the_commit() -> None:
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -3,16 +3,17 @@
 import random
 import subprocess
 import sys
+from unittest.mock import Mock
 
 import pytest
 
 from driftcleat import wire
 from driftcleat.api import Answer
 from driftcleat.fleet.silence import Silence
-from driftcleat.model import Cluster, Machine, MachineState, change_machine
+from driftcleat.model import Cluster, Machine, MachineState, change_machine, commands_for
 from driftcleat.store.records import encode_batch
 from driftcleat.term import Term, Ticket
-from driftcleat.wire.workers import Orders, Report
+from driftcleat.wire.workers import RUNNING, Orders, Report, TaskReport, split_task, task_name
 
 from .samples import BIG, TYPES, job, platform, raw_job
 from .simulation import Simulation
@@ -51,6 +52,14 @@
     return term, now
 
 
+def place_all(term: Term) -> None:
+    """Commit what may be committed."""
+    number = 100
+    while not (batch := term.build()).empty:
+        number += 1
+        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+
+
 def accept_all(term: Term) -> None:
     """Commit all submissions that wait, and place none of them."""
     term.pacing.place_from = float("inf")
@@ -130,3 +139,45 @@
         assert len(controller.background.tasks) == before
 
     Simulation(5).play(story)
+
+
+def test_a_report_equal_to_the_last_one_looks_at_no_task(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a walk over a machine's tasks with each of its reports: most say what the last one said."""
+    term, now = fleet(1)
+    machine = term.cluster.machines["vm-0"]
+    spec = job(1, hands=8, crew="red", accelerators=0.0, cores=1.0, imageGb=0.0)
+    term.admission.submit(Ticket(lambda view: None, spec))
+    accept_all(term)
+    term.pacing.place_from = 0.0
+    term.pacing.note_change()
+    place_all(term)
+    assert len(machine.tasks) == 8
+    split = Mock(side_effect=split_task)
+    monkeypatch.setattr("driftcleat.wire.workers.split_task", split)
+    tasks = tuple(TaskReport(task_name(*key), place.attempt, RUNNING) for key, place in machine.tasks.items())
+    looks = []
+    for seq in range(2, 7):
+        now[0] += 1.0
+        split.reset_mock()
+        report = Report("vm-0", "h", "big", "north", False, 1, seq, 5, tasks)
+        assert term.cluster.observe(report, now[0]) is machine and machine.heard_at == now[0]
+        term.cluster.news(machine)
+        assert commands_for(term.cluster, machine, report) == []
+        looks.append(split.call_count)
+        place_all(term)
+    assert looks[0] > 0 and looks[2:] == [0, 0, 0]
+    # What changes is looked at again.
+    report = Report("vm-0", "h", "big", "north", False, 1, 7, 5, tasks[:-1])
+    term.cluster.observe(report, now[0])
+    assert [command.op for command in commands_for(term.cluster, machine, report)] == ["start"]
+    # So is an equal report once the job is cancelled.
+    back = Report("vm-0", "h", "big", "north", False, 1, 8, 5, tasks)
+    for seq in (8, 9, 10):
+        back = Report("vm-0", "h", "big", "north", False, 1, seq, 5, tasks)
+        term.cluster.observe(back, now[0])
+        commands_for(term.cluster, machine, back)
+        place_all(term)
+    assert machine.steady
+    term.admission.cancel(Ticket(lambda view: None, job_id=spec.id))
+    place_all(term)
+    assert len(commands_for(term.cluster, machine, back)) == 8
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from driftcleat import wire
-from driftcleat.model import Cluster, JobState
+from driftcleat.model import Cluster, JobState, Machine, commands_for, stop_commands
 from driftcleat.settings import Platform, Tuning
 from driftcleat.store.records import (
     BATCH,
@@ -250,6 +250,15 @@
             self.world.send_report(self, self.report(), now)
 
 
+def check_steady(cluster: Cluster, machine: Machine, report: Report) -> None:
+    """An equal report that need not be looked at: a look at every task finds nothing either."""
+    offered = dict(machine.offered)
+    machine.steady = False
+    assert not cluster.news(machine) and not cluster._open_question(machine)
+    assert commands_for(cluster, machine, report) == [] and machine.offered == offered
+    machine.steady = True
+
+
 @dataclass
 class Leader:
     """A controller that believes to lead."""
@@ -343,7 +352,7 @@
             return
         machine = leader.term.cluster.observe(report, self.now)
         if machine is not None:
-            leader.term.cluster.orders(machine, report)
+            commands_for(leader.term.cluster, machine, report)
 
     def take_report(self, leader: Leader, worker: PlainWorker, report: Report, sent_at: float) -> None:
         """What a controller does with a report."""
@@ -354,7 +363,9 @@
             leader.stepped_down = True
             return
         machine = cluster.observe(report, self.now)
-        signals = [] if machine is None else cluster.orders(machine, report)
+        if machine is not None and machine.steady:
+            check_steady(cluster, machine, report)
+        signals = [] if machine is None else commands_for(cluster, machine, report)
         token = cluster.token
 
         def arrive() -> None:
@@ -445,7 +456,7 @@
         if machine is None or worker is None or machine.report is None:
             return
         cluster = leader.term.cluster
-        signals, session, token = cluster.stops(machine), machine.report.session, cluster.token
+        signals, session, token = stop_commands(cluster, machine), machine.report.session, cluster.token
         self.post(lambda: None if worker.cut or worker.deaf else worker.direct(token, session, signals))
 
     def keep_fleet(self, leader: Leader) -> None:
@@ -630,7 +641,7 @@
         if int(self.now * 4) % 4 == 0:
             self.keep_fleet(self.leader)
             for machine in list(self.leader.term.cluster.machines.values()):
-                if self.leader.term.cluster.stops(machine):
+                if stop_commands(self.leader.term.cluster, machine):
                     self.send_stops(self.leader, machine.name)
         for _, task in self.on_machines():
             self.check_cancelled(task.job.id)
--- /dev/null
+++ b/tools/load/fleet.py
@@ -0,0 +1,142 @@
+"""The stand-ins of a load test: thousands of workers, each with a connection of its own, cloud and state service.
+
+They check none of the rules, which the tests do: their own cost has to stay small beside that of the service.
+"""
+
+import asyncio
+import json
+import time
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from driftcleat import wire
+from driftcleat.net import HttpClient, HttpError
+from driftcleat.wire.workers import Orders, Report
+from tests.standins import LiveWorld, StoreServer
+from tests.world import PlainWorker, Running
+
+from .sizes import Size
+
+# A worker gives an answer up after so long.
+WORKER_TIMEOUT_S = 4.0
+RETRY_S = 0.1
+REFUSED_S = 1.0
+# The most machines in one page of the cloud's list.
+PAGE = 500
+TICK_S = 0.1
+WATCH_TICK_S = 0.02
+
+
+class Reports:
+    """How reports fared, since the last look."""
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+        self.redirected = self.failed = 0
+        # Of the last failure of each kind, for the printed page.
+        self.failures: dict[str, int] = {}
+
+    def fail(self, why: str) -> None:
+        """Count a report that got no answer."""
+        self.failed += 1
+        self.failures[why] = self.failures.get(why, 0) + 1
+
+
+class LoadWorld(LiveWorld):
+    """Workers and cloud of a fleet."""
+
+    def __init__(self, platform: Any) -> None:
+        super().__init__(platform)
+        self.reports = Reports()
+        self.clients: dict[str, HttpClient] = {}
+        # Zones that no controller reaches.
+        self.cut_zones: set[str] = set()
+
+    async def _report(self, worker: PlainWorker, report: Report, sent_at: float) -> None:
+        """Send a report over the worker's own connection."""
+        if not self.fronts:
+            worker.waiting_answer, worker.next_report = None, self.now + REFUSED_S
+            return
+        if worker.zone in self.cut_zones:
+            await asyncio.sleep(WORKER_TIMEOUT_S)
+            worker.waiting_answer, worker.next_report = None, self.now + RETRY_S
+            return
+        label = self.attached.get(worker.name)
+        if label not in self.fronts:
+            label = self.attached[worker.name] = self.rng.choice(sorted(self.fronts))
+        client = self.clients.setdefault(worker.name, HttpClient(1, 1, 75.0))
+        body = wire.encode(msgspec.structs.replace(report, addr=f"{self.addresses['workers']}/{worker.name}"))
+        began = time.monotonic()
+        leader = None
+        try:
+            answer = await client.request("POST", self.fronts[label], "/agent/beat", body, WORKER_TIMEOUT_S)
+        except (HttpError, TimeoutError) as error:
+            self.reports.fail(f"{type(error).__name__} {str(error)[:24]}")
+        else:
+            if answer.status == 200:
+                self.reports.waits.append(time.monotonic() - began)
+                orders = wire.decode(answer.body, Orders)
+                worker.answer(report.session, report.seq, orders.token, orders.signals, sent_at)
+                if orders.signals:
+                    worker.next_report = min(worker.next_report, self.now + RETRY_S)
+                return
+            self.reports.redirected += 1
+            leader = json.loads(answer.body).get("harbormaster") if answer.status == 421 else None
+        others = sorted(name for name in self.fronts if name != label)
+        self.attached[worker.name] = leader if leader in self.fronts else self.rng.choice(others or [label])
+        worker.waiting_answer, worker.next_report = None, self.now + RETRY_S
+
+    async def cloud(self, request: web.BaseRequest) -> web.Response:
+        """Answer the cloud's interface; the list comes in pages."""
+        if request.method != "GET" or request.path != "/rentals":
+            return await super().cloud(request)
+        rows = self.listed_machines(lambda name: f"{self.addresses['workers']}/{name}")
+        after = request.query.get("from", "")
+        rows = [row for row in rows if row["nameId"] > after]
+        return web.Response(body=wire.encode({"bollards": rows[:PAGE], "truncated": len(rows) > PAGE}))
+
+    def check_start(self, worker: PlainWorker, task: Running) -> None:
+        """Count a start."""
+        self.started += 1
+
+    async def live(self) -> None:
+        """Let the workers' time pass."""
+        while True:
+            self.now = asyncio.get_running_loop().time()
+            for worker in list(self.workers.values()):
+                worker.step()
+            await asyncio.sleep(TICK_S)
+
+    def lapses(self) -> int:
+        """Return how many leases of workers have run out."""
+        return sum(worker.session - 1 for worker in self.workers.values())
+
+
+class SlowStore(StoreServer):
+    """A state service with the reply time and the changes a second of a site."""
+
+    def __init__(self, inner: StoreServer, size: Size) -> None:
+        super().__init__(inner.store)
+        self.write_rps = size.write_rps
+        self._reply_s = size.store_s
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer after the usual time."""
+        await asyncio.sleep(self._reply_s)
+        return await super().handle(request)
+
+    async def answer(
+        self, sender: str, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        """Answer one request; a watch looks at its one key instead of all."""
+        if path != "/watch":
+            return await super().answer(sender, method, path, query, body)
+        revision, end, key = int(query["from"]), self.now() + int(query["waitMs"]) / 1000, query["under"]
+        while self.now() < end:
+            self.expire()
+            if self.store.revision > revision and key not in self.store.data:
+                return 200, {"logline": self.store.revision, "log": [{"remove": key, "entry": self.store.revision}]}
+            await asyncio.sleep(WATCH_TICK_S)
+        return 200, {"logline": self.store.revision, "log": []}
