--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -37,6 +37,7 @@
 log = logging.getLogger(__name__)
 
 FINAL = ("done", "cancelled")
+CANCEL = "/cancel"
 KEPT_FINALS = 5000
 # Records that are read at the most to say how a job stands that waits for others.
 MOST_READS = 24
@@ -58,9 +59,16 @@
         peers: PeerClient,
         current: CurrentTerm,
         clock: Callable[[], float],
+        most_in_progress: int,
+        most_passed_on: int,
     ) -> None:
+        """Beyond `most_in_progress` requests at once, and `most_passed_on` of them to the leader, all are refused."""
         self.platform, self.tuning, self.store, self.peers, self.current = platform, tuning, store, peers, current
         self.clock = clock
+        self._most_in_progress, self._most_passed_on = most_in_progress, most_passed_on
+        self._in_progress = self._passed_on = 0
+        # Requests that were refused since too many others were under way.
+        self.shed = 0
         self.retry_s = max(1, round(tuning.retry * platform.report_s))
         # Users wait 2 to 5 s for a response: what cannot have its turn at the store soon is refused at once.
         self.most_wait_s = platform.report_s / 6
@@ -80,12 +88,20 @@
 
         Guards against steps that are each bounded, while their sum is longer than a user waits.
         """
+        if self._in_progress >= self._most_in_progress and not path.endswith(CANCEL):
+            # Guards against users' requests that take the processor's time and the connections which reports need.
+            # A cancellation is always worth its time: it ends work that nobody wants any more.
+            self.shed += 1
+            return self.unavailable("too many requests are under way")
         deadline = Deadline(self.clock, self._time_for(method, forwarded))
+        self._in_progress += 1
         try:
             async with asyncio.timeout(deadline.left_s):
                 return await self._route(method, path, body, forwarded, deadline)
         except TimeoutError:
             return self.unavailable("no answer in time")
+        finally:
+            self._in_progress -= 1
 
     def _time_for(self, method: str, forwarded: bool) -> float:
         """Return the seconds in which a request is answered; one that was passed on has to be back in time."""
@@ -328,14 +344,20 @@
         leader = self.current.leader
         if forwarded or leader is None or leader == self.platform.label:
             return self.elsewhere("no leader")
+        if self._passed_on >= self._most_passed_on:
+            self.shed += 1
+            return self.unavailable("too many requests wait for the leader")
         message = peer_messages.Forward(method, path, body.decode("utf-8", "replace"))
         # A question that the leader does not answer can still be answered from the records.
         timeout_s = deadline.left_s * (LEADER_POLL_SHARE if method == "GET" else 1.0)
+        self._passed_on += 1
         try:
             answer = await self.peers.send(leader, message, timeout_s)
         except PeerError as error:
             log.debug("leader %s: %s", leader, error)
             return self.elsewhere("the leader does not answer")
+        finally:
+            self._passed_on -= 1
         if not isinstance(answer, peer_messages.Forwarded):
             return self.unavailable("the leader's answer is not one")
         return Answer(answer.status, answer.body.encode(), answer.retry_after_s)
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -39,6 +39,10 @@
 STORE_TIMEOUT = 0.5
 # The pause after a loop that failed, of the report interval.
 FAILURE_PAUSE = 1 / 10
+# Requests that a follower passes on to the leader at once, for each connection to it.
+PASSED_ON_A_CONNECTION = 4
+# The pause between two looks at the event loop's delay, of the report interval.
+DELAY_PAUSE = 1 / 10
 
 
 class Controller:
@@ -64,7 +68,7 @@
         platform = self.platform
         sockets = SocketBudget(platform.fd_limit, len(platform.peers))
         clients = self.connect(sockets)
-        self._assemble()
+        self._assemble(sockets)
         servers = await self.listen(sockets)
         if platform.memory_mb < LEAST_MEMORY_MB:
             log.warning(
@@ -100,10 +104,19 @@
         platform = self.platform
         return StoreLimits(platform.state_rps, platform.write_rps, platform.report_s * STORE_TIMEOUT)
 
-    def _assemble(self) -> None:
+    def _assemble(self, sockets: SocketBudget) -> None:
         """Make the parts that need the clients."""
         platform, tuning, current, clock = self.platform, self.tuning, self.current, self.clock
-        self.users = UserApi(platform, tuning, self.store, self.peers, current, clock)
+        self.users = UserApi(
+            platform,
+            tuning,
+            self.store,
+            self.peers,
+            current,
+            clock,
+            most_in_progress=sockets.users,
+            most_passed_on=sockets.peers.each * PASSED_ON_A_CONNECTION,
+        )
         self.reports = ReportApi(platform, tuning, current, self.metrics, clock)
         self.surveyor = PeerSurveyor(platform, self.peers, current, clock)
         self.election = current.election = Election(
@@ -139,8 +152,17 @@
             self.dispatcher.scan,
             self.dispatcher.run,
             *self.fleet_manager.loops(),
+            self._measure_delay,
         ]
 
+    async def _measure_delay(self) -> None:
+        """Note how late the event loop does what is due."""
+        pause_s = self.platform.report_s * DELAY_PAUSE
+        while True:
+            due = self.clock() + pause_s
+            await asyncio.sleep(pause_s)
+            self.metrics.loop_delay.record(max(0.0, self.clock() - due))
+
     async def listen(self, sockets: SocketBudget) -> list[Listener]:
         """Open the addresses that are served."""
         self.front = await serve(self.platform.bind, self.reply_front, sockets.front, workers=REPORTS)
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -15,6 +15,10 @@
 
 T = TypeVar("T")
 
+# The most machines that the cloud lists at once, and that it takes back at once.
+PAGE = 500
+MOST_RETURNED = 100
+
 
 class CloudError(DriftcleatError):
     """The cloud gave no usable answer; the request may still be carried out."""
@@ -76,7 +80,7 @@
         out: list[messages.Listed] = []
         after = ""
         while True:
-            path = "/rentals?page=500" + (f"&from={after}" if after else "")
+            path = f"/rentals?page={PAGE}" + (f"&from={after}" if after else "")
             page = await self._call("GET", path, None, messages.ListAnswer)
             out.extend(page.machines)
             if not page.more or not page.machines:
--- a/driftcleat/fleet/manager.py
+++ b/driftcleat/fleet/manager.py
@@ -7,7 +7,7 @@
 from driftcleat import wire
 from driftcleat.api.reports import ReportApi
 from driftcleat.background import Background
-from driftcleat.fleet.cloud import CloudClient, CloudError, NoCapacityError
+from driftcleat.fleet.cloud import MOST_RETURNED, PAGE, CloudClient, CloudError, NoCapacityError
 from driftcleat.fleet.sizing import Plan
 from driftcleat.leadership import CurrentTerm
 from driftcleat.metrics import Metrics
@@ -15,6 +15,7 @@
 from driftcleat.settings import Platform, Tuning
 from driftcleat.store.records import TYPES
 from driftcleat.term import OpenRental, Term
+from driftcleat.term.rentals import MOST_AT_ONCE
 from driftcleat.wire.cloud import Listed, RentRequest
 from driftcleat.workers.dispatch import StopDispatcher
 
@@ -25,6 +26,8 @@
 RUNNING, FAILED = "running", "failed"
 # The least pause between two rounds of sizing, and the longest wait for a change before one, of the report interval.
 SIZING_PAUSE = 1 / 4
+# The part of the cloud's calls that the list may take.
+LIST_SHARE = 1 / 3
 
 
 class FleetManager:
@@ -94,19 +97,32 @@
         self._current.wake_writer()
 
     async def _list_loop(self) -> None:
-        pause = max(2.0 / self.platform.cloud_rps, self.platform.list_lag_s / 2)
+        pause_s = 0.0
         while True:
             term = self._current.to_enforce
-            if term is not None and self.clock() - self.listed_at > pause:
+            if term is not None and self.clock() - self.listed_at > pause_s:
                 try:
                     machines = await self._cloud.machines()
                     self.listed_at = self.clock()
+                    pause_s = self._list_pause(len(machines))
                     if self._current.term is term:
                         self._take_list(term, machines)
                 except CloudError as error:
                     log.debug("list: %s", error)
             await asyncio.sleep(self.platform.report_s / 4)
 
+    def _list_pause(self, machines: int) -> float:
+        """Return how long not to ask for the list again: of many pages it takes a part of the cloud's calls only.
+
+        Guards against a return for a cancelled task that waits behind the pages of thousands of machines.
+        """
+        pages = machines // PAGE + 1
+        return max(
+            2.0 / self.platform.cloud_rps,
+            self.platform.list_lag_s / 2,
+            pages / (self._cloud.requests.rate * LIST_SHARE),
+        )
+
     def _take_list(self, term: Term, machines: list[Listed]) -> None:
         """Take in the cloud's list: adopt what is new, give up what failed or is missing."""
         now = self.clock()
@@ -186,14 +202,18 @@
             began = self.clock()
             term = self._current.to_enforce
             if term is not None:
-                self._size(term, began)
+                self._size(term, began, self._most_rented(pause_s))
             spent = self.clock() - began
             self._metrics.spent("sizing", spent)
             # Sizing can wait, reports cannot: on a small share of a processor it is done less often.
             earned_s = spent / (self.platform.core_share * self.tuning.effort)
             pause_s = max(self.platform.report_s * SIZING_PAUSE, min(earned_s, self.platform.report_s))
 
-    def _size(self, term: Term, now: float) -> None:
+    def _most_rented(self, pause_s: float) -> int:
+        """Return how many machines the cloud can be asked for until the fleet is sized again."""
+        return max(MOST_AT_ONCE, round(MOST_AT_ONCE * self._cloud.requests.rate * pause_s))
+
+    def _size(self, term: Term, now: float, most_rented: int) -> None:
         """Return machines that are not to be kept, and rent those that are needed."""
         for name in term.cancellations.machines_to_fence():
             self._fence(term, term.known_machine(name, now))
@@ -204,7 +224,7 @@
         if now < term.pacing.place_from:
             return
         silence = term.reachability.silence(now)
-        plan = term.plan_rentals(now, silence)
+        plan = term.plan_rentals(now, silence, most_rented)
         if log.isEnabledFor(logging.DEBUG):
             log.debug("fleet %s", term.summary())
         for machine in term.surplus(plan, now, silence):
@@ -288,13 +308,19 @@
             self._current.wake_writer()
             self._current.changed.set()
 
+    def _next_returns(self, may_decide: bool) -> list[str]:
+        """Return the machines of the next call: first those that keep a cancelled task, whose time is short."""
+        fencing = sorted(self.returning & self.fencing)
+        others = sorted(self.returning - self.fencing) if may_decide else []
+        return (fencing + others)[:MOST_RETURNED]
+
     async def _return_loop(self) -> None:
         while True:
             await asyncio.sleep(self.platform.report_s / 15)
             term = self._current.to_enforce
             if term is None:
                 continue
-            names = sorted(self.returning if self._current.to_decide is term else self.returning & self.fencing)[:100]
+            names = self._next_returns(self._current.to_decide is term)
             if not names:
                 continue
             try:
--- a/driftcleat/metrics.py
+++ b/driftcleat/metrics.py
@@ -31,6 +31,8 @@
 
     def __init__(self) -> None:
         self.build_ms, self.batch_ms, self.user_ms, self.report_ms = Timing(), Timing(), Timing(), Timing()
+        # How late the event loop does what is due: everything else waits as long.
+        self.loop_delay = Timing()
         # Seconds spent in the parts of the leader's work that do not wait for anything.
         self.parts: dict[str, float] = {}
         self.bad_reports = self.stale_reports = self.bad_peer_messages = 0
@@ -53,7 +55,9 @@
             "batch": self.batch_ms.summary(),
             "users": self.user_ms.summary(),
             "reports": self.report_ms.summary(),
+            "loop_delay": self.loop_delay.summary(),
             "parts_s": {part: round(seconds, 3) for part, seconds in sorted(self.parts.items())},
+            "requests_shed": controller.users.shed,
             "bad_reports": self.bad_reports,
             "stale_reports": self.stale_reports,
             "bad_peer_messages": self.bad_peer_messages,
--- a/driftcleat/net/budget.py
+++ b/driftcleat/net/budget.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from .http_client import HttpClient
+from .limiter import KEPT, WORKERS
 
 # The event loop, the log, the listeners and what the libraries keep open.
 OWN = 24
@@ -40,4 +41,10 @@
         # Every other controller may have as many connections to us as we to it, and an operator some.
         self.back = peer * peers + 4
         out = sum(part.total for part in (self.lease, self.store, self.cloud, self.peers, self.workers))
+        # Connections in: workers' and users'.
         self.front = max(16, fd_limit - OWN - out - self.back)
+
+    @property
+    def users(self) -> int:
+        """Return how many of the connections in are users' share."""
+        return max(1, int(self.front * KEPT * (1 - WORKERS)))
--- a/driftcleat/peers/server.py
+++ b/driftcleat/peers/server.py
@@ -16,8 +16,11 @@
 
 log = logging.getLogger(__name__)
 
-# The most cancelled jobs that a leader names to its followers.
-MOST_NAMED = 500
+# The most bytes of an answer that name cancelled jobs, what one name takes, and so how many are named: a follower
+# that is not told all of them cannot keep the leases of workers that are cut off together with it.
+NAMES_BYTES = 128 * 1024
+NAME_BYTES = 16
+MOST_NAMED = NAMES_BYTES // NAME_BYTES
 # How long the store may take before a question about it is answered, of the leader's lease.
 STORE_WAIT = 0.3
 
--- a/driftcleat/rebuild.py
+++ b/driftcleat/rebuild.py
@@ -72,7 +72,7 @@
     written = wire.decode(bytes(version.value), int) if version is not None else 1
     if written > DATA_VERSION:
         raise MalformedError(f"the records are of data version {written}, this program knows {DATA_VERSION}")
-    jobs, orphans = load_jobs(heads, chunks)
+    jobs, orphans = await load_jobs(heads, chunks)
     ended = await _ended_needs(store, jobs)
     layout = new_layout(platform)
     layout.switched = written == DATA_VERSION
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -1,5 +1,6 @@
 """How jobs lie in the store: compact task ranges, big jobs in chunks, ended jobs as a tiny final state."""
 
+import asyncio
 from typing import Any
 
 import msgspec
@@ -26,6 +27,9 @@
 # job's record says how many tasks each of its records holds, and what it needs; all keeps to the limits to come.
 DATA_VERSION = 2
 
+# Records that a full read decodes before it lets others go on.
+RECORDS_AT_ONCE = 20
+
 PlaceRow = tuple[str, str, int, str, float | None]
 
 
@@ -255,23 +259,40 @@
     return job
 
 
-def load_jobs(heads: list[messages.Item], chunks: list[messages.Item]) -> tuple[dict[str, Job], list[str]]:
+async def load_jobs(heads: list[messages.Item], chunks: list[messages.Item]) -> tuple[dict[str, Job], list[str]]:
     """Return the jobs of a full read, and the keys of chunks that have no job any more, or whose job's head names
-    another split: those of a move that ended in the middle, or that was finished."""
-    jobs = {job.id: job for job in map(load_head, heads)}
+    another split: those of a move that ended in the middle, or that was finished.
+
+    Records are decoded a few at a time. Guards against a leader that loses its lease over the records of thousands of
+    machines' work.
+    """
+    jobs: dict[str, Job] = {}
+    for number, item in enumerate(heads, 1):
+        job = load_head(item)
+        jobs[job.id] = job
+        if number % RECORDS_AT_ONCE == 0:
+            await asyncio.sleep(0)
     orphans: list[str] = []
-    for item in chunks:
-        job_id, split, number = split_chunk_key(item.key)
-        job = jobs.get(job_id)
-        if job is None or job.split != split:
+    for number, item in enumerate(chunks, 1):
+        if not _load_chunk(jobs, item):
             orphans.append(item.key)
-            continue
-        record = wire.decode(bytes(item.value), ChunkRecord)
-        _fill(job, record.done, record.places)
-        job.chunk_versions[number] = item.version
+        if number % RECORDS_AT_ONCE == 0:
+            await asyncio.sleep(0)
     return jobs, orphans
 
 
+def _load_chunk(jobs: dict[str, Job], item: messages.Item) -> bool:
+    """Fill in the tasks of one chunk; False if no job has it."""
+    job_id, split, number = split_chunk_key(item.key)
+    job = jobs.get(job_id)
+    if job is None or job.split != split:
+        return False
+    record = wire.decode(bytes(item.value), ChunkRecord)
+    _fill(job, record.done, record.places)
+    job.chunk_versions[number] = item.version
+    return True
+
+
 class EncodedBatch:
     """A batch as one transaction, ready to be sent any number of times."""
 
--- a/driftcleat/term/demand.py
+++ b/driftcleat/term/demand.py
@@ -23,8 +23,6 @@
 
 Shape = tuple[bool, int, float, float, float, tuple[str, ...] | None, str | None, bool, bool]
 
-# The most machines that one plan rents.
-MOST_RENTED = 64
 # A job that failed so often gets no machine of its own.
 MOST_FAILURES = 3
 # The least urgent level whose work is rented for before its machines are known to be lost.
@@ -46,7 +44,7 @@
         self._queue, self._reachability = queue, reachability
         self._rentals, self._arrivals = rentals, arrivals
 
-    def plan(self, now: float, silence: Silence) -> Plan:
+    def plan(self, now: float, silence: Silence, most_rented: int) -> Plan:
         """Return what to rent for queued and expected work, and which machines that work would use."""
         demands = self.queued()
         demands.extend(self._presumed_lost(silence, now))
@@ -60,7 +58,7 @@
             self.free(),
             self._cluster.types,
             lambda offer: self._rentals.is_refused(offer, now) or offer[1] in partitioned,
-            MOST_RENTED,
+            most_rented,
             self._platform.away,
         )
 
--- a/driftcleat/term/rentals.py
+++ b/driftcleat/term/rentals.py
@@ -62,10 +62,11 @@
     def rent(self, plan: Plan) -> None:
         """Queue a plan's rentals."""
         for (type_name, zone, spot), count in plan.rentals.items():
-            self._number += 1
-            name = f"{self._cluster.token}-{self._number}"
-            record = RentalRecord(type_name, zone, spot, min(count, MOST_AT_ONCE), self._wall())
-            self.new.append(OpenRental(name, record))
+            for already in range(0, count, MOST_AT_ONCE):
+                self._number += 1
+                name = f"{self._cluster.token}-{self._number}"
+                asked = min(count - already, MOST_AT_ONCE)
+                self.new.append(OpenRental(name, RentalRecord(type_name, zone, spot, asked, self._wall())))
 
     def take(self, batch: Batch) -> None:
         """Put new names, and the removal of settled ones, into a batch."""
--- a/driftcleat/term/term.py
+++ b/driftcleat/term/term.py
@@ -28,7 +28,7 @@
 from .preemption import Preemption
 from .queue import JobQueue
 from .reachability import Reachability
-from .rentals import Rentals
+from .rentals import MOST_AT_ONCE, Rentals
 from .reservations import Reservations
 from .surplus import Surplus
 
@@ -237,12 +237,12 @@
 
     # -- the fleet ----------------------------------------------------------------------------------------
 
-    def plan_rentals(self, now: float, silence: Silence | None = None) -> Plan:
+    def plan_rentals(self, now: float, silence: Silence | None = None, most_rented: int = MOST_AT_ONCE) -> Plan:
         """Return what to rent for queued and expected work, and which machines that work would use.
 
-        `silence`: what `reachability` has just said, if it was asked.
+        `silence`: what `reachability` has just said, if it was asked; `most_rented`: machines that one plan rents.
         """
-        return self.demand.plan(now, silence or self.reachability.silence(now))
+        return self.demand.plan(now, silence or self.reachability.silence(now), most_rented)
 
     def surplus(self, plan: Plan, now: float, silence: Silence | None = None) -> list[Machine]:
         """Return machines that are to be returned."""
--- a/driftcleat/workers/dispatch.py
+++ b/driftcleat/workers/dispatch.py
@@ -17,6 +17,8 @@
 
 # The first session of every worker: what is tried when its real one is not known.
 FIRST_SESSION = 1
+# Machines that a scan looks at before it lets others go on.
+MACHINES_AT_ONCE = 100
 
 
 class StopDispatcher:
@@ -53,13 +55,15 @@
             term = self._current.term
             if term is None or not self._current.election.answers_workers:
                 continue
-            for name in list(term.cluster.machines):
+            for number, name in enumerate(list(term.cluster.machines), 1):
                 self._send_stops(term, name)
+                if number % MACHINES_AT_ONCE == 0:
+                    await asyncio.sleep(0)
             self._current.wake_writer()
 
     def _send_stops(self, term: Term, name: str) -> None:
         machine = term.cluster.machines.get(name)
-        if machine is None or machine.report is None or not machine.addr:
+        if machine is None or machine.report is None or machine.steady or not machine.addr:
             return
         signals = stop_commands(term.cluster, machine)
         if signals:
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -1,8 +1,12 @@
 """Jobs, machine types and settings that the tests share."""
 
+import asyncio
 from typing import Any
 
+from driftcleat.model import Job
 from driftcleat.settings.platform import Platform, parse_platform
+from driftcleat.store.records import load_jobs
+from driftcleat.wire import state
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.users import Submission, parse_submission
 
@@ -76,3 +80,8 @@
     raw = raw_settings()
     raw["deployment"]["state"].update(limits)
     return parse_platform("test.toml", raw)
+
+
+def loaded_jobs(heads: list[state.Item], chunks: list[state.Item]) -> tuple[dict[str, Job], list[str]]:
+    """Return jobs as a new leader reads them, and the keys of chunks that no job has."""
+    return asyncio.run(load_jobs(heads, chunks))
