--- a/driftcleat/term/placement.py
+++ b/driftcleat/term/placement.py
@@ -47,8 +47,12 @@
         self._booting: set[tuple[str, str, bool]] = set()
 
     def play(self, batch: Batch, now: float) -> None:
-        """Play one round; what it leaves is for the next one."""
-        deadline = now + self._pacing.budget_s
+        """Play one round; what it leaves is for the next one.
+
+        The time budget counts from when the candidates are there, and at least one job is looked at. Guards against
+        rounds of thousands of machines, or on a small share of a processor, that are cut before their first job: seen
+        with 4,000 machines, where a new job waited half a minute.
+        """
         self._counters.rounds += 1
         waiting = self._queue.queued()
         self._preemption.reservations.expire(now, self._cluster.jobs)
@@ -62,6 +66,8 @@
         state = RoundState(work, waiting.order, now)
         queued = self._from_where_it_stopped(waiting.jobs)
         self._pacing.begin()
+        deadline = self._clock() + self._pacing.budget_s
+        looked_at = 0
         retry_at = INFINITE
         for job in queued:
             wait = self._cluster.retry_at.get(job.id, 0.0)
@@ -71,9 +77,10 @@
             if self._changes_already(batch, job):
                 self._pacing.want_another()
                 continue
-            if self._clock() >= deadline or not batch.has_room(job):
+            if (looked_at and self._clock() >= deadline) or not batch.has_room(job):
                 self._cut(job, queued)
                 break
+            looked_at += 1
             self._place_one(batch, job, state)
         else:
             if retry_at < INFINITE:
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -181,3 +181,24 @@
     term.admission.cancel(Ticket(lambda view: None, job_id=spec.id))
     place_all(term)
     assert len(commands_for(term.cluster, machine, back)) == 8
+
+
+def test_rounds_that_are_always_cut_reach_every_job() -> None:
+    """Guards against a round that uses its time up before its first job, over and over."""
+    term, now = fleet(40)
+    for number in range(1, 21):
+        spec = job(number, hands=1, accelerators=0.0, cores=1.0, imageGb=0.0)
+        term.admission.submit(Ticket(lambda view: None, spec))
+    accept_all(term)
+    term.pacing.place_from = 0.0
+    term.pacing.note_change()
+    slow = Mock(side_effect=lambda: now.__setitem__(0, now[0] + 1.0) or now[0])
+    term._placement._clock = slow
+    for number in range(1, 21):
+        now[0] += 60.0
+        for machine in term.cluster.machines.values():
+            machine.heard_at = now[0]
+        batch = term.build()
+        term.commit(batch, 200 + number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+        assert len(term.queue.queued().jobs) == 20 - number
+    assert term.counters.rounds_cut == 19
--- a/tools/load/__main__.py
+++ b/tools/load/__main__.py
@@ -1,6 +1,6 @@
 """Load test: real controller processes at a fleet's full size, everything around them stood in for.
 
-    python -m tools.load [hki | kandla | hki-lean | kandla-lean][-half-more] [--machines N] [--seconds S]
+    python -m tools.load [hki | kandla | hki-lean | kandla-lean][-half-more] [--machines N] [--phases LIST]
 
 Every machine keeps one connection open, as workers do, and each controller has the platform's descriptor limit set
 on its process. Phase by phase it prints processor time (whole and by part) of leader and followers, how reports and
@@ -19,7 +19,7 @@
 from .sizes import SIZES, Size
 
 
-async def run(size: Size, machines: int, seconds: float) -> bool:
+async def run(size: Size, machines: int, seconds: float, phases: list[str]) -> bool:
     """Play the load and print what it cost; whether every limit was kept."""
     site = LoadSite(size)
     try:
@@ -29,7 +29,7 @@
                 f"{machines} machines, a share of {size.core_share:.1%} of a core, {size.memory_mb:.0f} MB and "
                 f"{size.fd_limit} descriptors allowed"
             )
-            await scenario.play(seconds)
+            await scenario.play(seconds, phases)
             peaks = scenario.peaks
             return peaks.memory_mb < size.memory_mb and peaks.descriptors < size.fd_limit and site.world.lapses() == 0
     finally:
@@ -41,10 +41,12 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("site", nargs="?", choices=sorted(SIZES), default="hki")
     parser.add_argument("--machines", type=int)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seconds", type=float, default=20.0, help="how long the steady phase lasts")
+    parser.add_argument("--phases", default="", help="names with commas between them, in their order; default all")
     asked = parser.parse_args()
     size = SIZES[asked.site]
-    kept = uvloop.run(run(size, asked.machines or size.machines, asked.seconds))
+    phases = [name.strip() for name in asked.phases.split(",") if name.strip()]
+    kept = uvloop.run(run(size, asked.machines or size.machines, asked.seconds, phases))
     sys.exit(0 if kept else 1)
 
 
--- a/tools/load/fleet.py
+++ b/tools/load/fleet.py
@@ -21,7 +21,9 @@
 
 # A worker gives an answer up after so long.
 WORKER_TIMEOUT_S = 4.0
-RETRY_S = 0.1
+# When a worker reports again: after commands, to a leader that was named (at most), and to the next controller.
+CHANGED_S = 0.1
+REDIRECTED_S = 0.5
 REFUSED_S = 1.0
 # The most machines in one page of the cloud's list.
 PAGE = 500
@@ -61,7 +63,7 @@
             return
         if worker.zone in self.cut_zones:
             await asyncio.sleep(WORKER_TIMEOUT_S)
-            worker.waiting_answer, worker.next_report = None, self.now + RETRY_S
+            worker.waiting_answer, worker.next_report = None, self.now + REFUSED_S
             return
         label = self.attached.get(worker.name)
         if label not in self.fronts:
@@ -69,7 +71,7 @@
         client = self.clients.setdefault(worker.name, HttpClient(1, 1, 75.0))
         body = wire.encode(msgspec.structs.replace(report, addr=f"{self.addresses['workers']}/{worker.name}"))
         began = time.monotonic()
-        leader = None
+        leader: str | None = None
         try:
             answer = await client.request("POST", self.fronts[label], "/agent/beat", body, WORKER_TIMEOUT_S)
         except (HttpError, TimeoutError) as error:
@@ -80,13 +82,16 @@
                 orders = wire.decode(answer.body, Orders)
                 worker.answer(report.session, report.seq, orders.token, orders.signals, sent_at)
                 if orders.signals:
-                    worker.next_report = min(worker.next_report, self.now + RETRY_S)
+                    worker.next_report = min(worker.next_report, self.now + CHANGED_S)
                 return
             self.reports.redirected += 1
             leader = json.loads(answer.body).get("harbormaster") if answer.status == 421 else None
         others = sorted(name for name in self.fronts if name != label)
-        self.attached[worker.name] = leader if leader in self.fronts else self.rng.choice(others or [label])
-        worker.waiting_answer, worker.next_report = None, self.now + RETRY_S
+        known = leader is not None and leader in self.fronts and leader != label
+        self.attached[worker.name] = str(leader) if known else self.rng.choice(others or [label])
+        pause_s = self.rng.uniform(0.0, REDIRECTED_S) if known else REFUSED_S
+        worker.waiting_answer, worker.next_report = None, self.now + pause_s
+        worker.reported_at = worker.next_report
 
     async def cloud(self, request: web.BaseRequest) -> web.Response:
         """Answer the cloud's interface; the list comes in pages."""
--- a/tools/load/scenario.py
+++ b/tools/load/scenario.py
@@ -30,6 +30,10 @@
 }
 # What users hand in beside them: it fits on what the replicas leave.
 SHORT = {"hands": 2, "cores": 1.0, "accelerators": 0.0, "memGb": 1.0, "imageGb": 0.0, "voyageS": 5.0}
+# Users' requests a second of a usual burst, how many times that is overload, and how long a burst lasts.
+USUAL_A_SECOND = 200
+OVERLOAD = 5
+BURST_S = 10.0
 USER_TIMEOUT_S = 5.0
 POLL_TIMEOUT_S = 2.0
 LOOK_S = 0.02
@@ -114,18 +118,25 @@
 
     # -- phases -------------------------------------------------------------------------------------------
 
-    async def play(self, seconds: float) -> None:
-        """Play everything."""
+    def _phases(self, seconds: float) -> dict[str, Callable[[], Awaitable[list[str]]]]:
+        return {
+            "join": self._join,
+            "fill": self._fill,
+            "steady": lambda: self._wait(seconds),
+            "users": lambda: self._users(USUAL_A_SECOND, BURST_S),
+            "overload": lambda: self._users(USUAL_A_SECOND * OVERLOAD, 2 * BURST_S),
+            "silent third": self._third_silent,
+            "zone away": self._zone_away,
+            "leader killed": self._leader_killed,
+            "all killed": self._all_killed,
+        }
+
+    async def play(self, seconds: float, chosen: list[str]) -> None:
+        """Play the phases that are chosen; none chosen: all."""
         watching = asyncio.ensure_future(self.peaks.watch())
-        await self.phase("all machines join", self._join)
-        await self.phase("all in service", self._fill)
-        await self.phase("steady", lambda: self._wait(seconds))
-        await self.phase("submissions and polls", lambda: self._users(200, 10.0))
-        await self.phase("five times the submissions and polls", lambda: self._users(1000, 20.0))
-        await self.phase("a third silent, and back", self._third_silent)
-        await self.phase("one zone away, and back", self._zone_away)
-        await self.phase("the leader killed", self._leader_killed)
-        await self.phase("all controllers killed", self._all_killed)
+        for name, phase in self._phases(seconds).items():
+            if not chosen or name in chosen:
+                await self.phase(name, phase)
         watching.cancel()
         size = self.site.size
         print(
@@ -284,7 +295,7 @@
             f"a new job started after {placed_s:.1f} s" if placed else "THE NEW JOB NEVER STARTED",
             f"every machine heard after {time.monotonic() - began:.1f} s" if heard else "NOT EVERY MACHINE HEARD",
         ]
-        return ["  " + ", ".join(said)]
+        return ["  " + ", ".join(said), asked.line("its submission")]
 
     def _started(self, job_id: str) -> bool:
         return any(key[0] == job_id for worker in self.site.world.alive() for key in worker.tasks)
