--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -79,6 +79,16 @@
         """Return the answer to what cannot be taken now: at once, saying when to come back."""
         return Answer.error(503, why, retry_after_s=self.retry_s)
 
+    def _refuse(self, why: str) -> Answer:
+        """Refuse a request since there are too many."""
+        self.shed += 1
+        return self.unavailable(why)
+
+    @property
+    def _leader_is_busy(self) -> bool:
+        """Whether as many requests as may be wait for the leader already."""
+        return self._passed_on >= self._most_passed_on
+
     def elsewhere(self, why: str) -> Answer:
         """Return the answer to what another controller may be able to take: the connection is closed."""
         return replace(self.unavailable(why), close=True)
@@ -91,8 +101,7 @@
         if self._in_progress >= self._most_in_progress and not path.endswith(CANCEL):
             # Guards against users' requests that take the processor's time and the connections which reports need.
             # A cancellation is always worth its time: it ends work that nobody wants any more.
-            self.shed += 1
-            return self.unavailable("too many requests are under way")
+            return self._refuse("too many requests are under way")
         deadline = Deadline(self.clock, self._time_for(method, forwarded))
         self._in_progress += 1
         try:
@@ -236,8 +245,10 @@
         if view is not None:
             return self._found(view)
         if not self.current.holds and not forwarded and self.current.leader not in (None, self.platform.label):
+            busy = self._leader_is_busy
             answer = await self._pass_on("GET", path, b"", forwarded, deadline)
-            if answer.status in (200, 404):
+            if busy or answer.status in (200, 404):
+                # The records are read for a leader that is away, not for one that is busy: it needs the store's time.
                 return answer
         return await self._poll_store(job_id, term)
 
@@ -344,9 +355,8 @@
         leader = self.current.leader
         if forwarded or leader is None or leader == self.platform.label:
             return self.elsewhere("no leader")
-        if self._passed_on >= self._most_passed_on:
-            self.shed += 1
-            return self.unavailable("too many requests wait for the leader")
+        if self._leader_is_busy and not path.endswith(CANCEL):
+            return self._refuse("too many requests wait for the leader")
         message = peer_messages.Forward(method, path, body.decode("utf-8", "replace"))
         # A question that the leader does not answer can still be answered from the records.
         timeout_s = deadline.left_s * (LEADER_POLL_SHARE if method == "GET" else 1.0)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -248,6 +248,9 @@
 
     async def test(server: ScriptedServer) -> None:
         client = HttpClient(1, 1, 60.0)
+        server.go_on.set()
+        assert (await client.request("POST", server.address, "/before", b"", 5)).status == 200
+        server.go_on.clear()
         with pytest.raises(TimeoutError):
             await client.request("POST", server.address, "/first", b"", 0.1)
         server.go_on.set()
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,202 @@
+"""What holds at thousands of machines: bounds from settings, long passes in slices, users who give way to reports."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import Mock
+
+import pytest
+
+from driftcleat import wire
+from driftcleat.api import UserApi
+from driftcleat.controller import MOST_PEER_BODY
+from driftcleat.fleet.cloud import MOST_RETURNED
+from driftcleat.fleet.manager import FleetManager
+from driftcleat.fleet.sizing import Plan
+from driftcleat.net import SocketBudget
+from driftcleat.peers.server import MOST_NAMED
+from driftcleat.settings import Tuning
+from driftcleat.store import records
+from driftcleat.store.client import TokenBucket
+from driftcleat.term import Term, Ticket
+from driftcleat.term.rentals import MOST_AT_ONCE
+from driftcleat.wire import peers as messages
+from driftcleat.wire.users import Submission
+from driftcleat.workers.dispatch import StopDispatcher
+
+from .samples import job, platform, raw_job
+from .test_costs import accept_all, fleet, place_all
+
+SITE = platform()
+
+
+class HangingPeers:
+    """A leader that answers nothing until it is told to."""
+
+    def __init__(self) -> None:
+        self.go_on = asyncio.Event()
+        self.asked: list[str] = []
+
+    async def send(self, label: str, message: messages.Forward, timeout_s: float) -> messages.Forwarded:
+        self.asked.append(message.path)
+        await self.go_on.wait()
+        return messages.Forwarded(200, "{}", None)
+
+
+def user_api(peers: HangingPeers, most_in_progress: int, most_passed_on: int) -> UserApi:
+    """Return a follower's side for users."""
+    current: Any = SimpleNamespace(term=None, holds=False, leader="b")
+    none: Any = None
+    clock = asyncio.get_running_loop().time
+    return UserApi(SITE, Tuning(), none, peers, current, clock, most_in_progress, most_passed_on)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(("in_progress", "passed_on"), [(2, 9), (9, 2)])
+def test_users_are_refused_at_once_when_too_many_are_under_way_but_for_cancellations(
+    in_progress: int, passed_on: int
+) -> None:
+    """Guards against users' requests that take the connections and the time that reports need."""
+
+    async def run() -> None:
+        peers = HangingPeers()
+        users = user_api(peers, in_progress, passed_on)
+        waiting = [
+            asyncio.ensure_future(users.handle("POST", "/v1/jobs", json.dumps(raw_job(number)).encode()))
+            for number in (1, 2)
+        ]
+        await asyncio.sleep(0)
+        for method, path in (("GET", "/v1/jobs/req-000001"), ("POST", "/v1/jobs")):
+            answer = await asyncio.wait_for(users.handle(method, path, json.dumps(raw_job(3)).encode()), 0.1)
+            assert answer is not None and (answer.status, answer.retry_after_s) == (503, users.retry_s)
+        cancelling = asyncio.ensure_future(users.handle("POST", "/v1/jobs/req-000001/cancel", b""))
+        await asyncio.sleep(0)
+        assert peers.asked == ["/v1/jobs", "/v1/jobs", "/v1/jobs/req-000001/cancel"]
+        peers.go_on.set()
+        for answer in await asyncio.gather(*waiting, cancelling):
+            assert answer is not None and answer.status == 200
+        # The places are free again.
+        assert users.shed == 2
+        later = await users.handle("GET", "/v1/jobs/req-000001", b"")
+        assert later is not None and later.status == 200
+
+    asyncio.run(run())
+
+
+def test_users_share_of_connections_follows_the_descriptors() -> None:
+    small, large = SocketBudget(924, 2), SocketBudget(9240, 2)
+    assert 0 < small.users < small.front / 4 + 1
+    assert large.users > 8 * small.users
+
+
+def manager(cloud_rps: float) -> FleetManager:
+    """Return the loops around a cloud with that rate, without the cloud."""
+    none: Any = None
+    cloud: Any = SimpleNamespace(requests=TokenBucket(cloud_rps, lambda: 0.0))
+    return FleetManager(SITE, Tuning(), cloud, none, none, none, none, none, lambda: 0.0)
+
+
+def test_as_many_machines_are_rented_as_the_cloud_takes_until_the_next_round() -> None:
+    assert manager(0.1)._most_rented(0.5) == MOST_AT_ONCE
+    assert manager(4.0)._most_rented(2.0) == 8 * MOST_AT_ONCE
+
+
+def test_one_need_for_many_machines_is_several_requests_of_what_the_cloud_takes() -> None:
+    term, _ = fleet(1)
+    term.rentals.rent(Plan({("big", "north", False): 2 * MOST_AT_ONCE + 7}, set()))
+    assert [rental.record.count for rental in term.rentals.new] == [MOST_AT_ONCE, MOST_AT_ONCE, 7]
+    assert len({rental.name for rental in term.rentals.new}) == 3, "a name is never used for two requests"
+
+
+def test_the_list_takes_a_part_of_the_clouds_calls_however_many_pages_it_has() -> None:
+    """Guards against the return for a cancelled task that waits behind the pages of thousands of machines."""
+    for machines in (100, 700, 4000, 6000):
+        loops = manager(2.0)
+        pages = machines // 500 + 1
+        assert pages / loops._list_pause(machines) <= 2.0 / 3 + 1e-9
+
+
+def test_machines_that_keep_a_cancelled_task_are_returned_first() -> None:
+    loops = manager(2.0)
+    loops.returning = {f"vm-{number:06d}" for number in range(4000)}
+    loops.fencing = {f"vm-{number:06d}" for number in range(3900, 3950)}
+    first = loops._next_returns(may_decide=True)
+    assert len(first) == MOST_RETURNED and set(first[:50]) == loops.fencing
+    assert set(loops._next_returns(may_decide=False)) == loops.fencing
+
+
+def test_records_are_read_in_slices(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a leader that loses its lease while it decodes the records of thousands of machines' work."""
+    monkeypatch.setattr(records, "load_head", lambda item: SimpleNamespace(id=item))
+    monkeypatch.setattr(records, "_load_chunk", lambda jobs, item: False)
+
+    async def run() -> None:
+        heads: Any = list(range(1000))
+        chunks: Any = [SimpleNamespace(key=str(number)) for number in range(500)]
+        loading = asyncio.ensure_future(records.load_jobs(heads, chunks))
+        turns = 0
+        while not loading.done():
+            turns += 1
+            await asyncio.sleep(0)
+        jobs, orphans = loading.result()
+        assert len(jobs) == 1000 and len(orphans) == 500
+        assert turns >= 1500 // records.RECORDS_AT_ONCE
+
+    asyncio.run(run())
+
+
+def test_a_scan_looks_only_at_machines_that_may_have_to_be_told_something(monkeypatch: pytest.MonkeyPatch) -> None:
+    term, _ = fleet(50)
+    looks = Mock(return_value=[])
+    monkeypatch.setattr("driftcleat.workers.dispatch.stop_commands", looks)
+    none: Any = None
+    dispatcher = StopDispatcher(SITE, Tuning(), none, none, none, lambda: 0.0)
+    names = list(term.cluster.machines)
+    for name in names[:45]:
+        term.cluster.machines[name].steady = True
+    for name in names:
+        dispatcher._send_stops(term, name)
+    assert looks.call_count == 5
+
+
+@pytest.mark.parametrize("message", ["view", "pong"])
+def test_the_largest_message_between_controllers_is_taken(message: str) -> None:
+    names = [f"req-{number:06d}" for number in range(999_999 - MOST_NAMED, 999_999)]
+    status = messages.LeaderStatus(1.0, names)
+    sent: messages.PeerMessage = messages.Pong("a", True, "a", 7, status, 2)
+    if message == "view":
+        sent = messages.View("a", "leading", "a", 7, 0.1, 0.1, True, status, 2)
+    body = wire.encode(sent)
+    assert len(body) < MOST_PEER_BODY
+    assert wire.decode(body, messages.PeerMessage) == sent  # type: ignore[arg-type]
+    # A version before reads the same array, and knows no bound of names.
+    assert json.loads(body)[0] == message
+
+
+def test_a_passed_on_request_at_its_largest_is_taken() -> None:
+    """Every byte of a body may take two once it stands in a message's string."""
+    body = ("{" + "\t" * 65_000 + "}").encode()
+    assert len(wire.encode(messages.Forward("POST", "/v1/jobs", body.decode()))) < MOST_PEER_BODY
+
+
+def test_the_work_of_a_take_over_grows_with_the_machines_and_not_faster() -> None:
+    """Counts of looks at machines in the round after a take-over, 4,000 against 400 machines."""
+    looks: dict[int, int] = {}
+    for machines in (400, 4000):
+        term, _ = fleet(machines)
+        spec = job(1, hands=8, accelerators=0.0, cores=1.0, imageGb=0.0)
+        accept_one(term, spec)
+        takes = Mock(side_effect=term.candidates.takes_tasks)
+        term.candidates.takes_tasks = takes  # type: ignore[method-assign]
+        term.pacing.place_from = 0.0
+        term.pacing.note_change()
+        place_all(term)
+        assert len(term.cluster.jobs["req-000001"].places) == 8
+        looks[machines] = takes.call_count
+    assert looks[4000] <= 10 * looks[400]
+
+
+def accept_one(term: Term, spec: Submission) -> None:
+    """Commit a submission and place nothing yet."""
+    term.admission.submit(Ticket(lambda view: None, spec))
+    accept_all(term)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -13,6 +13,7 @@
 from .standins import free_port
 
 MOST_BODY = 1000
+LARGE = b"x" * 1_000_000
 
 
 class Client:
@@ -64,6 +65,8 @@
             return self._later()
         if path == "/broken":
             raise ValueError("broken")
+        if path == "/large":
+            return Answer(200, LARGE)
         if path == "/last":
             return Answer(503, b"{}", retry_after_s=3, close=True)
         return Answer(200, b'{"ok":true}')
@@ -179,6 +182,32 @@
     assert (await asks_for_it.answer())[0] == 200 and await asks_for_it.closed()
 
 
+@served()
+async def test_a_client_that_does_not_read_its_answers_is_served_no_further(server: Server) -> None:
+    """Guards against memory taken by answers that nobody fetches."""
+    client = await server.connect()
+    await client.send(request(path="/large") * 100)
+    await asyncio.sleep(0.2)
+    assert 0 < len(server.asked) < 50
+    for _ in range(100):
+        assert (await client.answer())[0] == 200
+    assert len(server.asked) == 100
+
+
+@served()
+async def test_who_sends_many_requests_at_once_is_read_no_further_while_they_wait(server: Server) -> None:
+    client = await server.connect()
+    await client.send(request(path="/later") + request(path="/x") * 3)
+    await asyncio.sleep(0.05)
+    (connection,) = server.listener.limiter.open
+    assert not connection._reading and len(server.asked) == 1
+    server.hold.set()
+    assert [(await client.answer())[0] for _ in range(4)] == [201, 200, 200, 200]
+    assert connection._reading
+    await client.send(request())
+    assert (await client.answer())[0] == 200
+
+
 @served()
 async def test_a_request_goes_on_when_its_client_is_gone(server: Server) -> None:
     client = await server.connect()
