--- /dev/null
+++ b/tools/costs.py
@@ -0,0 +1,155 @@
+"""Processor time and memory of a leader's steps, each apart: `python -m tools.costs [MACHINES ...]`.
+
+The deciding core alone, with four tasks on each machine; nothing is sent and nobody else takes part. The times are of
+this process: they tell shares and growth, not what another machine needs.
+"""
+
+import asyncio
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import TypeVar
+
+from driftcleat import wire
+from driftcleat.model import Cluster, commands_for
+from driftcleat.store.records import CHUNKS, JOBS, encode_batch, load_jobs
+from driftcleat.term import Term, Ticket
+from driftcleat.wire.workers import RUNNING, Report, TaskReport, task_name
+from tests.samples import TYPES, job, platform
+from tests.terms import new_term
+from tests.world import PlainStore
+
+T = TypeVar("T")
+
+SITE = platform()
+TASKS_A_MACHINE = 4
+TASKS_A_JOB = 40
+SIZES = (700, 4000)
+# Tasks of which four fill a machine.
+ARRAY = {"hands": TASKS_A_JOB, "cores": 4.0, "accelerators": 0.0, "memGb": 4.0, "imageGb": 1.0}
+
+
+class Steps:
+    """A term with so many machines, played step by step."""
+
+    def __init__(self, machines: int) -> None:
+        self._machines = machines
+        self._now = [0.0]
+        self._store = PlainStore(SITE)
+        self._number = self._mark = 0
+        self._token = self._store.put_leader("a")
+        self._term = self._begin(Cluster(self._token, {}, dict(TYPES), 0.0, SITE.lease_s))
+
+    def _begin(self, cluster: Cluster) -> Term:
+        term = new_term(SITE, cluster, self._now)
+        term.pacing.place_from = 0.0
+        return term
+
+    def _timed(self, name: str, work: Callable[[], T], count: int = 1) -> T:
+        """Print what some work takes, whole and for each of so many."""
+        began = time.process_time()
+        value = work()
+        spent = time.process_time() - began
+        each = f", {spent / count * 1e6:.1f} us for each of {count}" if count > 1 else ""
+        print(f"  {name}: {spent * 1e3:.1f} ms{each}", flush=True)
+        return value
+
+    def play(self) -> None:
+        """Print what each step takes."""
+        bodies = [wire.encode(report) for report in self._reports(1)]
+        reports = self._timed(
+            "decode reports", lambda: [wire.decode(body, Report) for body in bodies], self._machines
+        )
+        self._timed("first reports", lambda: self._observe(reports), self._machines)
+        jobs = self._machines * TASKS_A_MACHINE // TASKS_A_JOB
+        for number in range(1, jobs + 1):
+            self._term.admission.submit(Ticket(lambda view: None, job(number, **ARRAY)))
+        self._timed("candidates of one round", lambda: self._term.candidates.all(0.0), self._machines)
+        self._timed("jobs accepted and placed, batches encoded", self._commit_all, jobs)
+        self._reports_in_service(2)
+        now = self._now[0]
+        self._timed("what is silent", lambda: self._term.reachability.silence(now), self._machines)
+        plan = self._timed("what to rent", lambda: self._term.plan_rentals(now), self._machines)
+        self._timed("what to return", lambda: self._term.surplus(plan, now), self._machines)
+        self._take_over()
+
+    def _reports_in_service(self, seq: int) -> None:
+        for number, name in enumerate(("changed", "equal, the first", "equal, later")):
+            reports = self._reports(seq + number)
+            self._timed(f"reports, {name}", lambda reports=reports: self._observe(reports), self._machines)  # type: ignore[misc]
+            self._commit_all()
+
+    def _take_over(self) -> None:
+        """A new leader reads what the first one wrote, and hears every machine once."""
+        heads, chunks = self._store.items(JOBS), self._store.items(CHUNKS)
+        records = len(heads) + len(chunks)
+        print(f"  take-over with {records} records of {len(heads)} jobs")
+        jobs, _ = self._timed("  decode records", lambda: asyncio.run(load_jobs(heads, chunks)), records)
+        reports = self._reports(9)
+        cluster = self._timed("  the picture", lambda: Cluster(self._token, jobs, dict(TYPES), 0.0, SITE.lease_s))
+        self._term = self._begin(cluster)
+        self._timed("  every machine's first report", lambda: self._observe(reports), self._machines)
+        self._timed("  what they prove, in rounds", self._commit_all, self._machines)
+
+    def _reports(self, seq: int) -> list[Report]:
+        """Return a report of each machine, with the tasks that are placed there."""
+        out = []
+        for number in range(self._machines):
+            name = f"vm-{number:06d}"
+            machine = self._term.cluster.machines.get(name)
+            placed = machine.tasks.items() if machine is not None else ()
+            tasks = tuple(TaskReport(task_name(*key), place.attempt, RUNNING) for key, place in placed)
+            zone = ("north", "south")[number % 2]
+            out.append(Report(name, f"10.0.0.1:{number}", "big", zone, False, 1, seq, self._token, tasks))
+        return out
+
+    def _observe(self, reports: list[Report]) -> None:
+        cluster = self._term.cluster
+        for report in reports:
+            machine = cluster.observe(report, self._now[0])
+            assert machine is not None
+            cluster.news(machine)
+            commands_for(cluster, machine, report)
+
+    def _commit_all(self) -> None:
+        """Commit until nothing is left to do."""
+        while True:
+            self._now[0] += 1.0
+            for machine in self._term.cluster.machines.values():
+                machine.heard_at = self._now[0]
+            batch = self._term.build()
+            if batch.empty:
+                return
+            self._number += 1
+            encoded = encode_batch(batch, self._term.layout, self._token, self._number, self._mark)
+            revision = self._store.txn(encoded.body)
+            assert revision is not None
+            self._mark = revision
+            self._term.commit(batch, self._mark, encoded.garbage)
+
+
+def memory(machines: int) -> None:
+    """Print who holds how much at the end."""
+    tracemalloc.start()
+    steps = Steps(machines)
+    steps.play()
+    held = tracemalloc.take_snapshot().statistics("filename")
+    print(f"  memory held: {sum(found.size for found in held) / 2**20:.1f} MB, of it")
+    for found in held[:8]:
+        print(f"    {found.traceback[0].filename.rpartition('site-packages/')[2][-48:]}: {found.size / 2**20:.2f} MB")
+    tracemalloc.stop()
+
+
+def main() -> None:
+    """Play each size, and the largest once more for its memory."""
+    sizes = [int(text) for text in sys.argv[1:]] or list(SIZES)
+    for machines in sizes:
+        print(f"{machines} machines")
+        Steps(machines).play()
+    print(f"{max(sizes)} machines again, slowed down by counting memory")
+    memory(max(sizes))
+
+
+if __name__ == "__main__":
+    main()
