--- a/tools/costs.py
+++ b/tests/costs.py
@@ -1,4 +1,4 @@
-"""Processor time and memory of a leader's steps, each apart: `python -m tools.costs [MACHINES ...]`.
+"""Processor time and memory of a leader's steps, each apart: `python -m tests.costs [MACHINES ...]`.
 
 The deciding core alone, with four tasks on each machine; nothing is sent and nobody else takes part. The times are of
 this process: they tell shares and growth, not what another machine needs.
@@ -16,9 +16,10 @@
 from driftcleat.store.records import CHUNKS, JOBS, encode_batch, load_jobs
 from driftcleat.term import Term, Ticket
 from driftcleat.wire.workers import RUNNING, Report, TaskReport, task_name
-from tests.samples import TYPES, job, platform
-from tests.terms import new_term
-from tests.world import PlainStore
+
+from .samples import TYPES, job, platform
+from .terms import new_term
+from .world import PlainStore
 
 T = TypeVar("T")
 
