--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -10,14 +10,13 @@
 from driftcleat import wire
 from driftcleat.api import Answer
 from driftcleat.fleet.silence import Silence
-from driftcleat.model import Cluster, Machine, MachineState, change_machine, commands_for
-from driftcleat.store.records import encode_batch
-from driftcleat.term import Term, Ticket
+from driftcleat.model import Machine, MachineState, change_machine, commands_for
+from driftcleat.term import Ticket
 from driftcleat.wire.workers import RUNNING, Orders, Report, TaskReport, split_task, task_name
 
-from .samples import BIG, TYPES, job, platform, raw_job
+from .samples import BIG, job, raw_job
 from .simulation import Simulation
-from .terms import new_term
+from .terms import accept, commit_all, commit_next, fleet
 
 # Loaded only by what needs them: each costs a start milliseconds of a core, of which a controller has a small share.
 NOT_AT_START = (
@@ -40,45 +39,14 @@
     assert not set(NOT_AT_START) & set(loaded)
 
 
-def fleet(machines: int) -> tuple[Term, list[float]]:
-    """Return a term with that many empty machines, and its clock."""
-    now = [0.0]
-    site = platform()
-    cluster = Cluster(5, {}, dict(TYPES), 0.0, site.lease_s)
-    term = new_term(site, cluster, now)
-    for number in range(machines):
-        zone = ("north", "south")[number % 2]
-        cluster.observe(Report(f"vm-{number}", "h", "big", zone, False, 1, 1, 5, ()), 0.0)
-    return term, now
-
-
-def place_all(term: Term) -> None:
-    """Commit what may be committed."""
-    number = 100
-    while not (batch := term.build()).empty:
-        number += 1
-        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
-
-
-def accept_all(term: Term) -> None:
-    """Commit all submissions that wait, and place none of them."""
-    term.pacing.place_from = float("inf")
-    for number in range(1, 9):
-        batch = term.build()
-        term.commit(batch, number, encode_batch(batch, term.layout, 5, number, 0).garbage)
-
-
 def test_sizing_looks_at_kinds_of_jobs_and_machines_not_at_each_of_them() -> None:
     """Guards against rounds of sizing that grow with the queue: they were a quarter of a leader's processor time."""
     term, _ = fleet(200)
     # Whole machines, of two ranks, and one gang whose tasks depend on one another's zones.
     wide = {"accelerators": 4.0, "cores": 16.0, "hands": 1, "imageGb": 0.0}
-    for number in range(1, 41):
-        rank = ("high", "standard")[number % 2]
-        term.admission.submit(Ticket(lambda view: None, job(number, rank=rank, crew="blue", **wide)))
+    whole = [job(number, rank=("high", "standard")[number % 2], crew="blue", **wide) for number in range(1, 41)]
     gang = job(50, rig="group", together=True, crew="blue", **(wide | {"hands": 2, "accelerators": 0.0}))
-    term.admission.submit(Ticket(lambda view: None, gang))
-    accept_all(term)
+    accept(term, *whole, gang)
     assert len(term.queue.queued().jobs) == 41
     demands = term.demand.queued()
     # The team's limit of six accelerators leaves room for one of these.
@@ -89,10 +57,9 @@
 
 def test_jobs_alike_are_one_demand_with_all_their_tasks() -> None:
     term, _ = fleet(1)
-    for number in range(1, 31):
-        spec = job(number, hands=1 + number % 3, accelerators=0.0, rank=("high", "standard")[number % 2])
-        term.admission.submit(Ticket(lambda view: None, spec))
-    accept_all(term)
+    ranks = ("high", "standard")
+    specs = [job(n, hands=1 + n % 3, accelerators=0.0, rank=ranks[n % 2]) for n in range(1, 31)]
+    accept(term, *specs)
     jobs = term.queue.queued().jobs
     assert len(jobs) == 30
     demands = term.demand.queued()
@@ -146,11 +113,8 @@
     term, now = fleet(1)
     machine = term.cluster.machines["vm-0"]
     spec = job(1, hands=8, crew="red", accelerators=0.0, cores=1.0, imageGb=0.0)
-    term.admission.submit(Ticket(lambda view: None, spec))
-    accept_all(term)
-    term.pacing.place_from = 0.0
-    term.pacing.note_change()
-    place_all(term)
+    accept(term, spec)
+    commit_all(term)
     assert len(machine.tasks) == 8
     split = Mock(side_effect=split_task)
     monkeypatch.setattr("driftcleat.wire.workers.split_task", split)
@@ -164,7 +128,7 @@
         term.cluster.news(machine)
         assert commands_for(term.cluster, machine, report) == []
         looks.append(split.call_count)
-        place_all(term)
+        commit_all(term)
     assert looks[0] > 0 and looks[2:] == [0, 0, 0]
     # What changes is looked at again.
     report = Report("vm-0", "h", "big", "north", False, 1, 7, 5, tasks[:-1])
@@ -176,30 +140,24 @@
         back = Report("vm-0", "h", "big", "north", False, 1, seq, 5, tasks)
         term.cluster.observe(back, now[0])
         commands_for(term.cluster, machine, back)
-        place_all(term)
+        commit_all(term)
     assert machine.steady
     term.admission.cancel(Ticket(lambda view: None, job_id=spec.id))
-    place_all(term)
+    commit_all(term)
     assert len(commands_for(term.cluster, machine, back)) == 8
 
 
 def test_rounds_that_are_always_cut_reach_every_job() -> None:
     """Guards against a round that uses its time up before its first job, over and over."""
     term, now = fleet(40)
-    for number in range(1, 21):
-        spec = job(number, hands=1, accelerators=0.0, cores=1.0, imageGb=0.0)
-        term.admission.submit(Ticket(lambda view: None, spec))
-    accept_all(term)
-    term.pacing.place_from = 0.0
-    term.pacing.note_change()
+    accept(term, *(job(number, hands=1, accelerators=0.0, cores=1.0, imageGb=0.0) for number in range(1, 21)))
     slow = Mock(side_effect=lambda: now.__setitem__(0, now[0] + 1.0) or now[0])
     term._placement._clock = slow
     for number in range(1, 21):
         now[0] += 60.0
         for machine in term.cluster.machines.values():
             machine.heard_at = now[0]
-        batch = term.build()
-        term.commit(batch, 200 + number, encode_batch(batch, term.layout, 5, number, 0).garbage)
+        commit_next(term)
         assert len(term.queue.queued().jobs) == 20 - number
     assert term.counters.rounds_cut == 19
 
@@ -207,10 +165,7 @@
 def test_no_round_is_played_while_the_store_takes_no_change() -> None:
     """Guards against a look at every machine for a batch that can hold no place."""
     term, _ = fleet(10)
-    term.admission.submit(Ticket(lambda view: None, job(1, hands=1, accelerators=0.0, cores=1.0, imageGb=0.0)))
-    accept_all(term)
-    term.pacing.place_from = 0.0
-    term.pacing.note_change()
+    accept(term, job(1, hands=1, accelerators=0.0, cores=1.0, imageGb=0.0))
     assert term.build(changes=0.0).empty and term.counters.rounds == 0
     assert term.has_work, "the round is still due"
     assert not term.build().empty and term.counters.rounds == 1
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,14 +19,12 @@
 from driftcleat.settings import Tuning
 from driftcleat.store import records
 from driftcleat.store.client import TokenBucket
-from driftcleat.term import Term, Ticket
 from driftcleat.term.rentals import MOST_AT_ONCE
 from driftcleat.wire import peers as messages
-from driftcleat.wire.users import Submission
 from driftcleat.workers.dispatch import StopDispatcher
 
 from .samples import job, platform, raw_job
-from .test_costs import accept_all, fleet, place_all
+from .terms import accept, commit_all, fleet
 
 SITE = platform()
 
@@ -185,18 +183,10 @@
     for machines in (400, 4000):
         term, _ = fleet(machines)
         spec = job(1, hands=8, accelerators=0.0, cores=1.0, imageGb=0.0)
-        accept_one(term, spec)
+        accept(term, spec)
         takes = Mock(side_effect=term.candidates.takes_tasks)
         term.candidates.takes_tasks = takes  # type: ignore[method-assign]
-        term.pacing.place_from = 0.0
-        term.pacing.note_change()
-        place_all(term)
+        commit_all(term)
         assert len(term.cluster.jobs["req-000001"].places) == 8
         looks[machines] = takes.call_count
     assert looks[4000] <= 10 * looks[400]
-
-
-def accept_one(term: Term, spec: Submission) -> None:
-    """Commit a submission and place nothing yet."""
-    term.admission.submit(Ticket(lambda view: None, spec))
-    accept_all(term)
