--- a/driftcleat/__init__.py
+++ b/driftcleat/__init__.py
@@ -1,3 +1,3 @@
 """driftcleat: a cluster scheduler whose controllers keep their only lasting state in a small store."""
 
-__version__ = "0.6.0"
+__version__ = "0.7.0"
--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -65,7 +65,7 @@
         """Beyond `most_in_progress` requests at once, and `most_passed_on` of them to the leader, all are refused."""
         self.platform, self.tuning, self.store, self.peers, self.current = platform, tuning, store, peers, current
         self.clock = clock
-        self._most_in_progress, self._most_passed_on = most_in_progress, most_passed_on
+        self.most_in_progress, self.most_passed_on = most_in_progress, most_passed_on
         self._in_progress = self._passed_on = 0
         # Requests that were refused since too many others were under way.
         self.shed = 0
@@ -87,7 +87,7 @@
     @property
     def _leader_is_busy(self) -> bool:
         """Whether as many requests as may be wait for the leader already."""
-        return self._passed_on >= self._most_passed_on
+        return self._passed_on >= self.most_passed_on
 
     def elsewhere(self, why: str) -> Answer:
         """Return the answer to what another controller may be able to take: the connection is closed."""
@@ -98,11 +98,11 @@
 
         Guards against steps that are each bounded, while their sum is longer than a user waits.
         """
-        if self._in_progress >= self._most_in_progress and not path.endswith(CANCEL):
+        if self._in_progress >= self.most_in_progress and not path.endswith(CANCEL):
             # Guards against users' requests that take the processor's time and the connections which reports need.
             # A cancellation is always worth its time: it ends work that nobody wants any more.
             return self._refuse("too many requests are under way")
-        deadline = Deadline(self.clock, self._time_for(method, forwarded))
+        deadline = Deadline(self.clock, self.time_for(method, forwarded))
         self._in_progress += 1
         try:
             async with asyncio.timeout(deadline.left_s):
@@ -112,7 +112,7 @@
         finally:
             self._in_progress -= 1
 
-    def _time_for(self, method: str, forwarded: bool) -> float:
+    def time_for(self, method: str, forwarded: bool) -> float:
         """Return the seconds in which a request is answered; one that was passed on has to be back in time."""
         if method == "GET":
             return self.platform.report_s * self.tuning.poll * (FORWARDED_POLL_SHARE if forwarded else 1.0)
--- a/driftcleat/background.py
+++ b/driftcleat/background.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from typing import TypeVar
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 
 class Background:
     """Tasks on the side."""
@@ -37,3 +40,11 @@
         except Exception:
             log.exception("loop %s failed, it goes on", getattr(loop, "__qualname__", loop))
         await asyncio.sleep(pause_s)
+
+
+async def in_slices(items: Iterable[T], at_once: int) -> AsyncIterator[T]:
+    """Go through items, and let others go on after so many at once."""
+    for number, item in enumerate(items, 1):
+        yield item
+        if number % at_once == 0:
+            await asyncio.sleep(0)
--- a/driftcleat/cli/commands.py
+++ b/driftcleat/cli/commands.py
@@ -6,30 +6,34 @@
 
 from driftcleat import __version__
 
-from .serve import fail, load_settings, serve
+from .serve import fail, load_settings, load_sharing_settings, serve
 
 
 @click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
 @click.option("--config", metavar="FILE", help="Serve with the platform's settings in FILE (TOML).")
 @click.option("--ini", metavar="FILE", help="The operators' own settings (INI); also DRIFTCLEAT_INI.")
+@click.option("--sharing", metavar="FILE", help="Share machines among controllers (INI); also DRIFTCLEAT_SHARING.")
 @click.version_option(__version__, prog_name="driftcleat")
 @click.pass_context
-def main(context: click.Context, config: str | None, ini: str | None) -> None:
+def main(context: click.Context, config: str | None, ini: str | None, sharing: str | None) -> None:
     """driftcleat, a cluster scheduler."""
     if context.invoked_subcommand is not None:
         return
     if config is None:
         click.echo(context.get_help())
         sys.exit(2)
-    serve(config, ini)
+    serve(config, ini, sharing)
 
 
 @main.command()
 @click.argument("config")
 @click.option("--ini", metavar="FILE", help="The operators' own settings (INI).")
-def check(config: str, ini: str | None) -> None:
+@click.option("--sharing", metavar="FILE", help="The settings of sharing (INI).")
+def check(config: str, ini: str | None, sharing: str | None) -> None:
     """Check settings without serving."""
     platform, _ = load_settings(config, ini)
+    if sharing is not None:
+        load_sharing_settings(sharing)
     click.echo(f"driftcleat: {config}: ok, controller {platform.label} of {len(platform.peers) + 1}")
 
 
@@ -65,3 +69,14 @@
         )
         for name, row in sorted(data["classes"].items()):
             click.echo(f"class {name}: {row['jobs']} jobs, {row['queued']} tasks queued, {row['placed']} placed")
+
+
+@main.command()
+@click.argument("words", nargs=-1, metavar="HOST:PORT | move HOST:PORT SHARE CONTROLLER")
+@click.option("--json", "as_json", is_flag=True, help="Print everything as JSON.")
+def shares(words: tuple[str, ...], as_json: bool) -> None:
+    """Show which controller owns which share of the machines, or move a share."""
+    # Loaded here alone: serving must not wait for it.
+    from .shares import run
+
+    run(words, as_json)
--- a/driftcleat/cli/serve.py
+++ b/driftcleat/cli/serve.py
@@ -4,18 +4,22 @@
 import logging
 import os
 import sys
-from typing import NoReturn
+from typing import TYPE_CHECKING, NoReturn
 
 from driftcleat.settings import Platform, SettingsError, Tuning, load_platform, load_tuning
 
+if TYPE_CHECKING:
+    from driftcleat.sharing.settings import SharingSettings
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
-def serve(config: str, ini: str | None) -> None:
+def serve(config: str, ini: str | None, sharing: str | None = None) -> None:
     """Serve until the process is ended."""
     _set_up_log()
     platform, tuning = load_settings(config, ini)
-    _run(platform, tuning)
+    sharing = sharing or os.environ.get("DRIFTCLEAT_SHARING")
+    _run(platform, tuning, load_sharing_settings(sharing) if sharing else None)
 
 
 def load_settings(config: str, ini: str | None) -> tuple[Platform, Tuning]:
@@ -26,6 +30,17 @@
         fail(str(error), 2)
 
 
+def load_sharing_settings(path: str) -> "SharingSettings":
+    """Return the settings of sharing; wrong ones end the program."""
+    # Nothing of sharing is loaded unless it is switched on.
+    from driftcleat.sharing.settings import load_sharing
+
+    try:
+        return load_sharing(path)
+    except SettingsError as error:
+        fail(str(error), 2)
+
+
 def fail(why: str, status: int) -> NoReturn:
     """End the program with one line that says why."""
     print(f"driftcleat: {why}", file=sys.stderr)
@@ -40,7 +55,7 @@
     logging.getLogger("asyncio").setLevel(max(logging.WARNING, LEVELS[name]))
 
 
-def _run(platform: Platform, tuning: Tuning) -> None:
+def _run(platform: Platform, tuning: Tuning, sharing: "SharingSettings | None") -> None:
     import uvloop
 
     from driftcleat.controller import Controller
@@ -51,7 +66,12 @@
     gc.enable()
 
     async def run() -> None:
-        await Controller(platform, tuning).run()
+        if sharing is None:
+            await Controller(platform, tuning).run()
+            return
+        from driftcleat.sharing.host import SharingHost
+
+        await SharingHost(platform, tuning, sharing).run()
 
     try:
         uvloop.run(run())
--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -15,6 +15,7 @@
 from driftcleat.leadership import CurrentTerm, Election, PeerSurvey
 from driftcleat.metrics import Metrics
 from driftcleat.net import HttpClient, SocketBudget
+from driftcleat.overload import OverloadDetector
 from driftcleat.peers import PeerClient
 from driftcleat.peers.server import PeerApi
 from driftcleat.peers.survey import PeerSurveyor
@@ -61,6 +62,7 @@
         self.metrics = Metrics()
         self.background = Background()
         self.current = CurrentTerm()
+        self.overload = OverloadDetector(platform.report_s)
         self._leader_reached_at = float("-inf")
 
     async def run(self) -> None:
@@ -119,17 +121,7 @@
         )
         self.reports = ReportApi(platform, tuning, current, self.metrics, clock)
         self.surveyor = PeerSurveyor(platform, self.peers, current, clock)
-        self.election = current.election = Election(
-            platform,
-            tuning,
-            self.store,
-            self.rng,
-            clock,
-            self._rebuild,
-            self._resigned,
-            self._ask_peers,
-            self.surveyor.ask_leader,
-        )
+        self.election = current.election = self.make_election()
         self.peer_api = PeerApi(platform, self.store, self.users, current, self.metrics, clock)
         self.writer = BatchWriter(platform, self.store, current, self.metrics, clock)
         self.dispatcher = StopDispatcher(platform, tuning, self.workers, current, self.background, clock)
@@ -145,6 +137,20 @@
             clock,
         )
 
+    def make_election(self) -> Election:
+        """Return this controller's part in the election."""
+        return Election(
+            self.platform,
+            self.tuning,
+            self.store,
+            self.rng,
+            self.clock,
+            self._rebuild,
+            self._resigned,
+            self._ask_peers,
+            self.surveyor.ask_leader,
+        )
+
     def _loops(self) -> list[Callable[[], Awaitable[None]]]:
         return [
             self.election.run,
@@ -156,12 +162,28 @@
         ]
 
     async def _measure_delay(self) -> None:
-        """Note how late the event loop does what is due."""
+        """Note how late the event loop does what is due, and each report interval whether reports suffer from it."""
         pause_s = self.platform.report_s * DELAY_PAUSE
         while True:
-            due = self.clock() + pause_s
-            await asyncio.sleep(pause_s)
-            self.metrics.loop_delay.record(max(0.0, self.clock() - due))
+            began_at, heard, worst_s = self.clock(), self.reports.heard, 0.0
+            while self.clock() - began_at < self.platform.report_s:
+                due = self.clock() + pause_s
+                await asyncio.sleep(pause_s)
+                delay_s = max(0.0, self.clock() - due)
+                self.metrics.loop_delay.record(delay_s)
+                worst_s = max(worst_s, delay_s)
+            intervals = (self.clock() - began_at) / self.platform.report_s
+            self.overload.note_interval(
+                round((self.reports.heard - heard) / intervals), self._machines_alive(), worst_s
+            )
+
+    def _machines_alive(self) -> int:
+        """Return how many machines have reported to our term within their lease."""
+        if self.current.term is None:
+            return 0
+        since = self.clock() - self.platform.lease_s
+        machines = self.current.term.cluster.machines.values()
+        return sum(machine.report is not None and machine.heard_at > since for machine in machines)
 
     async def listen(self, sockets: SocketBudget) -> list[Listener]:
         """Open the addresses that are served."""
@@ -192,6 +214,7 @@
         found = await rebuild(token, self.store, self.platform, self.tuning, self.rng, self.clock, self.wall)
         self.writer.begin(found.mark_version)
         self.current.term = term = found.term
+        term.pacing.overload_pause_s = lambda: self.overload.pause_s
         self.peer_api.note_version(self.platform.label, DATA_VERSION)
         self.fleet_manager.reset(found.types_stored)
         log.info("term %d: %d jobs, %d open rentals", token, len(term.cluster.jobs), len(term.rentals.open))
--- a/driftcleat/fleet/cloud.py
+++ b/driftcleat/fleet/cloud.py
@@ -7,7 +7,7 @@
 
 from driftcleat import wire
 from driftcleat.errors import DriftcleatError
-from driftcleat.net import HttpClient, HttpError
+from driftcleat.net import HttpAnswer, HttpClient, HttpError
 from driftcleat.store.client import TokenBucket
 from driftcleat.wire import cloud as messages
 
@@ -44,24 +44,23 @@
             await asyncio.sleep(delay)
         self.requests.take(1)
         try:
-            status, data = await self._exchange(method, path, body)
+            answer = await self.exchange(method, path, body)
         except (HttpError, TimeoutError) as error:
             raise CloudError(f"no answer: {error!r}") from None
-        if status == 503 and b"no capacity" in data:
-            raise NoCapacityError(data.decode("utf-8", "replace"))
-        if status != 200:
-            raise CloudError(f"status {status}")
+        if answer.status == 503 and b"no capacity" in answer.body:
+            raise NoCapacityError(answer.body.decode("utf-8", "replace"))
+        if answer.status != 200:
+            raise CloudError(f"status {answer.status}")
         try:
-            return wire.decode(data, kind)
+            return wire.decode(answer.body, kind)
         except wire.WireError as error:
             self.malformed += 1
             log.warning("cloud: malformed answer: %s", error)
             raise CloudError(f"malformed answer: {error}") from None
 
-    async def _exchange(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
-        """Send one request; return status and body."""
-        answer = await self.client.request(method, self.address, path, body, self.timeout_s)
-        return answer.status, answer.body
+    async def exchange(self, method: str, path: str, body: bytes | None) -> HttpAnswer:
+        """Send one request."""
+        return await self.client.request(method, self.address, path, body, self.timeout_s)
 
     async def types(self) -> tuple[messages.MachineType, ...]:
         """Return the types on offer."""
--- a/driftcleat/leadership/election.py
+++ b/driftcleat/leadership/election.py
@@ -309,10 +309,7 @@
                 await self.store.end(item.lease)
                 return
             self._note_contact(await self.ask_leader())
-            answer = await self.store.watch(LEADER, self._revision, self.ttl_s)
-            if answer is None or not answer.events:
-                return
-            log.debug("leader key changed")
+            await self._watch_leader()
             return
         self.leader = None
         now = self.clock()
@@ -322,15 +319,24 @@
         await asyncio.sleep(self.rng.uniform(0.0, 0.02) * self.ttl_s)
         await self._campaign()
 
+    async def _watch_leader(self) -> None:
+        """Wait until the leader key changes, or long enough to look again."""
+        answer = await self.store.watch(LEADER, self._revision, self.ttl_s)
+        if answer is not None and answer.events:
+            log.debug("leader key changed")
+
+    def _claim(self, lease: int) -> messages.Txn:
+        """Return the transaction that makes this controller the leader, if nobody is."""
+        value = LeaderKey(self.platform.label, self.life)
+        return messages.Txn([messages.Condition(LEADER, 0)], [messages.Put(LEADER, value, lease)])
+
     async def _campaign(self) -> None:
         self.change(Role.CAMPAIGNING)
         sent_at = self.clock()
         lease = await self.store.grant(self.ttl_s)
         self.lease.granted(lease, sent_at)
-        value = LeaderKey(self.platform.label, self.life)
-        txn = messages.Txn([messages.Condition(LEADER, 0)], [messages.Put(LEADER, value, lease)])
         try:
-            token = await self.store.txn(txn)
+            token = await self.store.txn(self._claim(lease))
         except ConflictError:
             self._step_down("another was first")
             await self._drop_lease(lease)
--- a/driftcleat/leadership/lease.py
+++ b/driftcleat/leadership/lease.py
@@ -18,6 +18,10 @@
         """The lease was renewed by a request sent at that time."""
         self._valid_until = max(self._valid_until, sent_at + self.ttl_s * (1 - self.drift))
 
+    def give_up(self, now: float) -> None:
+        """From now on another controller may hold the leader key, although the lease goes on."""
+        self._valid_until = min(self._valid_until, now)
+
     def lost(self) -> None:
         """The lease has ended."""
         self.lease = None
--- a/driftcleat/model/cluster.py
+++ b/driftcleat/model/cluster.py
@@ -97,6 +97,14 @@
                 job.level = inherited.level
                 job.start_by = inherited.due - job.spec.estimate_s
 
+    def note_end_elsewhere(self, job_id: str, state: JobState, now: float) -> None:
+        """A job that ours need, and that is homed elsewhere, has ended, or is certain to end as cancelled."""
+        if state is JobState.DONE:
+            for ready in self.needs.done(job_id):
+                self.ready_at[ready] = now
+        else:
+            self.needs.cancelled(job_id)
+
     def ready(self, job: Job) -> bool:
         """Whether tasks of a job may be placed as far as other jobs go."""
         return self.needs.ready(job.id)
--- a/driftcleat/net/http_client.py
+++ b/driftcleat/net/http_client.py
@@ -108,17 +108,23 @@
 
     def _may_open(self, address: str) -> bool:
         """Whether a further connection is within the bounds, after closing one that is idle elsewhere if need be."""
-        if self._open.get(address, 0) >= self._each:
+        if not self._has_room(address):
             return False
-        if sum(self._open.values()) < self._total:
-            return True
-        elsewhere = next(iter(self._idle), None)
-        if elsewhere is None:
-            return False
-        self._pop_idle(elsewhere, 0).close()
-        self._forget(elsewhere)
+        if self._all_open >= self._total:
+            elsewhere = next(iter(self._idle))
+            self._pop_idle(elsewhere, 0).close()
+            self._forget(elsewhere)
         return True
 
+    @property
+    def _all_open(self) -> int:
+        return sum(self._open.values())
+
+    def _has_room(self, address: str) -> bool:
+        """Whether a further connection would be within the bounds, if one that is idle elsewhere may be closed."""
+        room = self._all_open < self._total or bool(self._idle)
+        return room and self._open.get(address, 0) < self._each
+
     async def _connect(self, address: str) -> HttpConnection:
         self._open[address] = self._open.get(address, 0) + 1
         self._wake()
@@ -180,7 +186,4 @@
 
     def _has_free(self, address: str) -> bool:
         """Whether a request to an address need not wait: a connection is idle there, or may be opened."""
-        if self._idle.get(address):
-            return True
-        room = sum(self._open.values()) < self._total or bool(self._idle)
-        return room and self._open.get(address, 0) < self._each
+        return bool(self._idle.get(address)) or self._has_room(address)
--- a/driftcleat/peers/client.py
+++ b/driftcleat/peers/client.py
@@ -4,7 +4,7 @@
 
 from driftcleat import wire
 from driftcleat.errors import DriftcleatError
-from driftcleat.net import HttpClient, HttpError
+from driftcleat.net import HttpAnswer, HttpClient, HttpError
 from driftcleat.settings import Platform
 from driftcleat.store.records import DATA_VERSION
 from driftcleat.wire import peers as messages
@@ -19,8 +19,8 @@
 class PeerClient:
     """Speaks to the other controllers."""
 
-    def __init__(self, client: HttpClient, platform: Platform) -> None:
-        self.client = client
+    def __init__(self, client: HttpClient, platform: Platform, path: str = PATH) -> None:
+        self.client, self.path = client, path
         self.label = platform.label
         self.addresses = {peer.label: peer.address for peer in platform.peers}
 
@@ -30,20 +30,19 @@
         if address is None:
             raise PeerError(f"unknown controller {label}")
         try:
-            status, data = await self._exchange(address, wire.encode(message), timeout_s)
+            answer = await self.exchange(address, wire.encode(message), timeout_s)
         except (HttpError, TimeoutError) as error:
             raise PeerError(f"no answer: {error!r}") from None
-        if status != 200:
-            raise PeerError(f"status {status}")
+        if answer.status != 200:
+            raise PeerError(f"status {answer.status}")
         try:
-            return wire.decode(data, messages.PeerMessage)  # type: ignore[arg-type]
+            return wire.decode(answer.body, messages.PeerMessage)  # type: ignore[arg-type]
         except wire.WireError as error:
             raise PeerError(str(error)) from None
 
-    async def _exchange(self, address: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
-        """Send one request; return status and body."""
-        answer = await self.client.request("POST", address, PATH, body, timeout_s)
-        return answer.status, answer.body
+    async def exchange(self, address: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        """Send one request."""
+        return await self.client.request("POST", address, self.path, body, timeout_s)
 
     async def ping(self, labels: list[str], timeout_s: float) -> list[messages.Pong]:
         """Ask controllers who leads; those that answer are returned."""
--- /dev/null
+++ b/driftcleat/sharing/cloud.py
@@ -0,0 +1,160 @@
+"""The cloud as one share sees it: machines are a share's once the store says so, and for as long as they exist.
+
+A machine's share is a key that is created if it is absent: whoever rented it writes it before anybody acts on it, the
+coordinator writes it for machines that nobody has. Two shares can never have one machine.
+"""
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from driftcleat.fleet.cloud import CloudClient, CloudError
+from driftcleat.settings import Platform
+from driftcleat.store.client import ConflictError, StoreClient, StoreError, TokenBucket
+from driftcleat.wire import cloud as wire_cloud
+from driftcleat.wire import state as messages
+
+from .keys import FIRST_SHARE, MACHINES
+from .view import SharingView
+
+log = logging.getLogger(__name__)
+
+# A machine that nobody has is taken by the first share once it is this old, as a multiple of the list's lag: until
+# then whoever rented it may be about to say so.
+GRACE_LAGS = 2.0
+# Keys of machines that are gone for certain may be removed after this many lags without being listed.
+FORGET_LAGS = 12.0
+
+
+class MachineRegistry:
+    """Writes which share a machine belongs to."""
+
+    def __init__(self, store: StoreClient, view: SharingView, platform: Platform) -> None:
+        self._store, self._view = store, view
+        self._at_once = max(1, platform.txn_ops)
+
+    async def register(self, names: Sequence[str], share: int) -> list[str]:
+        """Make machines a share's; return those that are. `StoreError` if that cannot be said."""
+        ours: list[str] = []
+        for begin in range(0, len(names), self._at_once):
+            ours += await self._register(names[begin : begin + self._at_once], share)
+        return ours
+
+    async def _register(self, names: Sequence[str], share: int) -> list[str]:
+        unknown = [name for name in names if self._view.share_of(name) is None]
+        if unknown:
+            conditions = [messages.Condition(MACHINES + name, 0) for name in unknown]
+            changes: list[Any] = [messages.Put(MACHINES + name, share) for name in unknown]
+            try:
+                await self._store.txn(messages.Txn(conditions, changes))
+            except ConflictError:
+                return await self._register_one_by_one(names, share)
+            for name in unknown:
+                self._view.machines[name] = share
+        return [name for name in names if self._view.share_of(name) == share]
+
+    async def _register_one_by_one(self, names: Sequence[str], share: int) -> list[str]:
+        """Some of them are registered already: by ourselves before, or to another share."""
+        for name in names:
+            if self._view.share_of(name) is not None:
+                continue
+            try:
+                changes: list[Any] = [messages.Put(MACHINES + name, share)]
+                await self._store.txn(messages.Txn([messages.Condition(MACHINES + name, 0)], changes))
+                self._view.machines[name] = share
+            except ConflictError:
+                await self.look_up(name)
+        return [name for name in names if self._view.share_of(name) == share]
+
+    async def look_up(self, name: str) -> int | None:
+        """Return a machine's share as the store has it just now."""
+        item = await self._store.get(MACHINES + name)
+        if item is None:
+            return None
+        share = int(bytes(item.value))
+        self._view.machines[name] = share
+        return share
+
+    async def forget(self, names: Sequence[str]) -> None:
+        """Remove machines that are gone for good."""
+        known = [name for name in names if name in self._view.machines]
+        for begin in range(0, len(known), self._at_once):
+            part = known[begin : begin + self._at_once]
+            changes: list[Any] = [messages.Remove(MACHINES + name) for name in part]
+            await self._store.txn(messages.Txn([], changes))
+
+
+class ShareCloud(CloudClient):
+    """Passes calls to the process's client; sees the machines of one share only."""
+
+    def __init__(
+        self,
+        inner: CloudClient,
+        share: int,
+        view: SharingView,
+        registry: MachineRegistry,
+        platform: Platform,
+        clock: Callable[[], float],
+    ) -> None:
+        self._inner, self._share, self._view, self._registry = inner, share, view, registry
+        self._lag_s = platform.list_lag_s
+        self._clock = clock
+        self._unlisted_since: dict[str, float] = {}
+        # This share's part of the cloud's calls, by which the sizes of plans and the pace of lists go.
+        self.requests = TokenBucket(platform.cloud_rps * 0.9, clock, burst_s=2.0)
+
+    @property
+    def malformed(self) -> int:  # type: ignore[override]
+        """Return how many answers of the cloud were malformed."""
+        return self._inner.malformed
+
+    async def types(self) -> tuple[wire_cloud.MachineType, ...]:
+        """Return the types on offer."""
+        return await self._inner.types()
+
+    async def rent(self, request: wire_cloud.RentRequest) -> tuple[str, ...]:
+        """Rent machines and make them this share's; those that another share has are left to it.
+
+        Until the store says whose they are the rental is not settled: it is repeated under its name.
+        """
+        # Tokens are unique over all shares, and so are the names that begin with them.
+        names = await self._inner.rent(request)
+        try:
+            return tuple(await self._registry.register(names, self._share))
+        except StoreError as error:
+            raise CloudError(f"rented machines could not be registered: {error}") from None
+
+    async def give_back(self, names: list[str]) -> None:
+        """Return machines of this share; those of another are never named."""
+        await self._inner.give_back([name for name in names if self._view.share_of(name) in (self._share, None)])
+        try:
+            await self._registry.forget(names)
+        except StoreError as error:
+            log.debug("machines that are gone are still registered: %s", error)
+
+    async def machines(self) -> list[wire_cloud.Listed]:
+        """Return this share's machines in the list; the first share takes those that nobody has."""
+        listed = await self._inner.machines()
+        if self._share == FIRST_SHARE:
+            await self._take_unowned(listed)
+        return [machine for machine in listed if self._view.share_of(machine.name) == self._share]
+
+    async def _take_unowned(self, listed: list[wire_cloud.Listed]) -> None:
+        unowned = [
+            machine.name
+            for machine in listed
+            if self._view.share_of(machine.name) is None and machine.age_s > self._lag_s * GRACE_LAGS
+        ]
+        try:
+            await self._registry.register(unowned, FIRST_SHARE)
+            await self._forget_unlisted({machine.name for machine in listed})
+        except StoreError as error:
+            raise CloudError(f"machines could not be registered: {error}") from None
+
+    async def _forget_unlisted(self, listed: set[str]) -> None:
+        """Remove keys of machines that nobody returned and that the list has lacked for long: taken, or failed."""
+        now = self._clock()
+        unlisted = [name for name in self._view.machines if name not in listed]
+        self._unlisted_since = {name: self._unlisted_since.get(name, now) for name in unlisted}
+        gone = [name for name, since in self._unlisted_since.items() if now - since > self._lag_s * FORGET_LAGS]
+        await self._registry.forget(gone)
--- /dev/null
+++ b/driftcleat/sharing/demand.py
@@ -0,0 +1,43 @@
+"""What one share uses and wants of the teams' limits, read from its term."""
+
+from collections.abc import Mapping
+
+from driftcleat.model import Job
+from driftcleat.settings import Team
+from driftcleat.term import Term
+
+from .allotments import Amount, is_divided
+from .messages import TeamDemand
+
+
+def demands_of(term: Term, teams: Mapping[str, Team], wall_s: float) -> tuple[TeamDemand, ...]:
+    """Return the demand for each team with a limit that has any."""
+    found = []
+    for team in teams.values():
+        if is_divided(team):
+            demand = _demand_of(term, team.name, wall_s)
+            if demand is not None:
+                found.append(demand)
+    return tuple(found)
+
+
+def _demand_of(term: Term, team: str, wall_s: float) -> TeamDemand | None:
+    usage = term.cluster.usage.get(team)
+    used = Amount(usage.cpus, usage.gpus) if usage is not None else Amount()
+    waiting = [job for job in term.queue.queued().jobs if job.spec.team == team]
+    wanted = used
+    for job in waiting:
+        wanted = wanted + _amount(job, job.queued)
+    if not waiting and not used.cpus and not used.gpus:
+        return None
+    first, waited_s = Amount(), 0.0
+    if waiting:
+        oldest = min(waiting, key=lambda job: (job.submitted, job.id))
+        # An array or a service begins with one task; a gang with all.
+        first = _amount(oldest, oldest.queued if oldest.is_gang else 1)
+        waited_s = max(0.0, wall_s - oldest.submitted)
+    return TeamDemand(team, used, wanted, first, waited_s)
+
+
+def _amount(job: Job, tasks: int) -> Amount:
+    return Amount(job.spec.cpus * tasks, job.spec.gpus * tasks)
--- /dev/null
+++ b/driftcleat/sharing/engine.py
@@ -0,0 +1,229 @@
+"""One share at one controller: the parts of a controller, with the share's keys, machines and part of the limits."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from driftcleat import wire
+from driftcleat.api.server import Listener
+from driftcleat.api.users import FINAL
+from driftcleat.controller import Controller
+from driftcleat.leadership import Election
+from driftcleat.model import JobState
+from driftcleat.net import HttpClient, SocketBudget
+from driftcleat.settings import Platform, Tuning
+from driftcleat.store.client import StoreError, StoreLimits
+from driftcleat.store.records import LEADER
+from driftcleat.term import Term
+
+from .allotments import Amount, allotted, guarantee_share, is_divided
+from .cloud import ShareCloud
+from .demand import demands_of
+from .election import ShareElection
+from .keys import in_share
+from .messages import ShareStatus
+from .needs import ShareUserApi
+from .share_states import state_elsewhere
+from .share_store import ShareStore
+
+if TYPE_CHECKING:
+    from .host import SharingHost
+
+log = logging.getLogger(__name__)
+
+# How often jobs of other shares that ours need are looked at, of the report interval.
+NEEDS_PAUSE = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pin:
+    """A lowered part whose commit is under way, or of unknown outcome, on this version of the record."""
+
+    version: int
+    part: Amount
+
+
+class ShareEngine(Controller):
+    """A controller for one share; the process's clients and listeners are its host's."""
+
+    def __init__(
+        self, host: "SharingHost", share: int, platform: Platform, tuning: Tuning, rng: random.Random
+    ) -> None:
+        # Its own table of teams: the parts of the limits change while a term lasts.
+        own = dataclasses.replace(platform, teams=dict(platform.teams))
+        super().__init__(own, tuning, rng, host.clock, host.wall)
+        self.host, self.share = host, share
+        self._full_teams = platform.teams
+        self._pins: dict[str, Pin] = {}
+
+    def connect(self, sockets: SocketBudget) -> list[HttpClient]:
+        """Use the host's clients."""
+        host = self.host
+        limits = StoreLimits(self.platform.state_rps, self.platform.write_rps, self.store_limits.timeout_s)
+        self.store = ShareStore(host.store, self.share, host.process_lease, limits)
+        self.cloud = ShareCloud(host.cloud, self.share, host.view, host.registry, self.platform, self.clock)
+        self.peers = host.make_peers(self.share)
+        self.workers = host.workers
+        return []
+
+    async def listen(self, sockets: SocketBudget) -> list[Listener]:
+        """Use the host's listeners."""
+        self.front = self.host.front
+        self.reports.crowded = lambda: self.host.front.limiter.crowded
+        return []
+
+    def make_election(self) -> Election:
+        """Return this controller's part in the share's election."""
+        return ShareElection(
+            self.share,
+            self.host.view,
+            self.host.process_lease,
+            self.platform,
+            self.tuning,
+            self.store,
+            self.rng,
+            self.clock,
+            self._rebuild,
+            self._resigned,
+            self._ask_peers,
+            self.surveyor.ask_leader,
+        )
+
+    def _assemble(self, sockets: SocketBudget) -> None:
+        super()._assemble(sockets)
+        self.users = ShareUserApi.beside(self.users, self.share, self.host)
+        self.peer_api.use(self.users)
+
+    def _loops(self) -> list[Callable[[], Awaitable[None]]]:
+        return [*super()._loops(), self._watch_needs]
+
+    @property
+    def share_election(self) -> ShareElection:
+        """Return the share's election."""
+        assert isinstance(self.election, ShareElection)
+        return self.election
+
+    # -- terms --------------------------------------------------------------------------------------------
+
+    async def _rebuild(self, token: int) -> None:
+        """Begin a term with the parts of the limits as they stand now that nobody else can lower them."""
+        await self.host.view.refresh()
+        self._pins.clear()
+        self.take_parts()
+        await super()._rebuild(token)
+        term = self.current.term
+        if term is not None:
+            # An earlier leader may have told users of cancellations that it saw in other shares.
+            await self._note_ends_elsewhere(term)
+
+    def take_parts(self) -> None:
+        """Go by the parts of the limits as they are known now."""
+        for team in self._full_teams.values():
+            self._set_part(team.name, self.part(team.name))
+
+    def part(self, team_name: str) -> Amount:
+        """Return this share's part of a team's limit; less while it is open whether a lowered part was committed."""
+        view = self.host.view
+        allotment = view.allotments.get(team_name)
+        part = allotment.part(self.share) if allotment is not None else Amount()
+        pin = self._pins.get(team_name)
+        if pin is None:
+            return part
+        if pin.version != view.allotment_versions.get(team_name, 0):
+            del self._pins[team_name]
+            return part
+        return part.at_most(pin.part)
+
+    def _set_part(self, team_name: str, part: Amount) -> None:
+        """Place no more of a team's tasks than fit into a part of its limit."""
+        team = self._full_teams[team_name]
+        assignment = self.host.view.assignment
+        if assignment is None:
+            self.platform.teams[team_name] = team
+            return
+        guaranteed = guarantee_share(team, part, assignment.shares) if is_divided(team) else 1.0 / assignment.shares
+        changed = allotted(team, part, guaranteed)
+        if self.platform.teams[team_name] != changed:
+            self.platform.teams[team_name] = changed
+            if self.term is not None:
+                self.term.queue.invalidate()
+                self.term.pacing.note_change()
+
+    async def lower(self, team_name: str, target: Amount) -> None:
+        """Lower this share's part of a team's limit as far as its tasks allow.
+
+        Nothing beyond the target is placed from now on; the batch under way was built before and may still place
+        more, so the lowered part is only committed once its outcome is known.
+        """
+        view, term = self.host.view, self.current.to_decide
+        allotment = view.allotments.get(team_name)
+        if term is None or allotment is None:
+            return
+        version = view.allotment_versions[team_name]
+        self._pins[team_name] = Pin(
+            version, target.at_least(self.used(team_name)).at_most(allotment.part(self.share))
+        )
+        self._set_part(team_name, self.part(team_name))
+        while self.writer.busy:
+            await asyncio.sleep(self.platform.report_s / 100)
+        if self.current.to_decide is not term or view.allotment_versions[team_name] != version:
+            return
+        part = target.at_least(self.used(team_name)).at_most(allotment.part(self.share))
+        if part.covers(allotment.part(self.share)):
+            del self._pins[team_name]
+            self._set_part(team_name, self.part(team_name))
+            return
+        self._pins[team_name] = Pin(version, part)
+        self._set_part(team_name, self.part(team_name))
+        conditions = [(in_share(self.share, LEADER), term.cluster.token)]
+        await self.host.put_allotment(team_name, allotment.with_part(self.share, part), version, conditions)
+        self.take_parts()
+
+    def used(self, team_name: str) -> Amount:
+        """Return what the committed tasks of a team take."""
+        usage = self.term.cluster.usage.get(team_name) if self.term is not None else None
+        return Amount(usage.cpus, usage.gpus) if usage is not None else Amount()
+
+    def status(self) -> ShareStatus | None:
+        """Return how the share stands, if it is led here for certain."""
+        term = self.current.to_decide
+        if term is None:
+            return None
+        demands = demands_of(term, self._full_teams, self.wall())
+        queued = sum(job.queued for job in term.queue.queued().jobs)
+        return ShareStatus(self.share, term.cluster.token, len(term.cluster.machines), queued, demands)
+
+    # -- jobs of other shares that ours need --------------------------------------------------------------
+
+    async def _watch_needs(self) -> None:
+        """Find out how jobs that are homed elsewhere, and that jobs of this share need, have ended."""
+        while True:
+            await asyncio.sleep(self.platform.report_s * NEEDS_PAUSE)
+            term = self.current.to_decide
+            if term is None:
+                continue
+            try:
+                await self._note_ends_elsewhere(term)
+            except (StoreError, wire.WireError) as error:
+                log.debug("jobs of other shares: %s", error)
+
+    async def _note_ends_elsewhere(self, term: Term) -> None:
+        for need in sorted(_needs_elsewhere(term)):
+            state = await self._end_of(need)
+            if state is not None and self.current.term is term:
+                term.note_end_elsewhere(need, state)
+                self.current.wake_writer()
+
+    async def _end_of(self, job_id: str) -> JobState | None:
+        """Return whether a job of another share is done or cancelled; None if neither."""
+        home = await self.host.claims.home(job_id)
+        state = await state_elsewhere(self.host.store, home, job_id) if home is not None else None
+        return JobState(state) if state in FINAL else None
+
+
+def _needs_elsewhere(term: Term) -> set[str]:
+    needs = set().union(*term.cluster.needs.unmet.values()) if term.cluster.needs.unmet else set()
+    return needs - term.cluster.jobs.keys()
--- /dev/null
+++ b/driftcleat/sharing/process_lease.py
@@ -0,0 +1,77 @@
+"""The one lease of the store on which all leader keys of a process hang: more shares cost no more renewals."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from driftcleat.store.client import NoLeaseError, StoreClient
+
+log = logging.getLogger(__name__)
+
+# A renewal that is this fresh, as a part of the pause between renewals, serves whoever asks next.
+FRESH = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """A lease, and when the request was sent that gave it its full time."""
+
+    lease: int
+    sent_at: float
+
+
+class ProcessLease:
+    """Granted when it is first needed; renewed by whoever asks, and by one request for all that ask together."""
+
+    def __init__(self, store: StoreClient, ttl_s: float, renewal_pause_s: float, clock: Callable[[], float]) -> None:
+        self._store, self._ttl_s, self._pause_s, self._clock = store, ttl_s, renewal_pause_s, clock
+        self._last: Renewal | None = None
+        self._lock = asyncio.Lock()
+        # How many requests were sent, for measurements.
+        self.requests = 0
+
+    @property
+    def lease(self) -> int | None:
+        """Return the lease that is held, as far as known."""
+        return self._last.lease if self._last is not None else None
+
+    async def hold(self) -> int:
+        """Return a lease that was renewed, or granted, by a request sent after this call."""
+        began_at = self._clock()
+        async with self._lock:
+            if self._last is not None:
+                if self._last.sent_at >= began_at:
+                    return self._last.lease
+                try:
+                    return (await self._renew(self._last.lease)).lease
+                except NoLeaseError:
+                    log.info("the lease of this process has ended")
+            sent_at = self._clock()
+            self.requests += 1
+            self._last = Renewal(await self._store.grant(self._ttl_s), sent_at)
+            return self._last.lease
+
+    async def renew(self, lease: int) -> float:
+        """Renew a lease, unless that was done lately; return when the request was sent that counts.
+
+        `NoLeaseError` if the lease has ended: what hung on it is gone, whatever the process holds now.
+        """
+        async with self._lock:
+            last = self._last
+            if last is None or last.lease != lease:
+                raise NoLeaseError(f"lease {lease} has ended")
+            if self._clock() - last.sent_at < self._pause_s * FRESH:
+                return last.sent_at
+            return (await self._renew(lease)).sent_at
+
+    async def _renew(self, lease: int) -> Renewal:
+        sent_at = self._clock()
+        self.requests += 1
+        try:
+            await self._store.renew(lease, self._ttl_s * 0.5)
+        except NoLeaseError:
+            self._last = None
+            raise
+        self._last = Renewal(lease, sent_at)
+        return self._last
--- /dev/null
+++ b/driftcleat/sharing/sharing_client.py
@@ -0,0 +1,37 @@
+"""The client side of messages about shares."""
+
+from typing import TYPE_CHECKING
+
+from driftcleat import wire
+from driftcleat.net import HttpError
+from driftcleat.peers.client import PeerError
+
+from .messages import SharingMessage
+
+if TYPE_CHECKING:
+    from .host import SharingHost
+
+PATH = "/sharing"
+
+
+class SharingClient:
+    """Sends messages about shares to other controllers."""
+
+    def __init__(self, host: "SharingHost") -> None:
+        self._peers = host.make_sharing_client(PATH)
+
+    async def send(self, label: str, message: SharingMessage, timeout_s: float) -> SharingMessage:
+        """Send one message; return the answer. `PeerError` if there is no usable one."""
+        address = self._peers.addresses.get(label)
+        if address is None:
+            raise PeerError(f"unknown controller {label}")
+        try:
+            answer = await self._peers.exchange(address, wire.encode(message), timeout_s)
+        except (HttpError, TimeoutError) as error:
+            raise PeerError(f"no answer: {error!r}") from None
+        if answer.status != 200:
+            raise PeerError(f"status {answer.status}")
+        try:
+            return wire.decode(answer.body, SharingMessage)  # type: ignore[arg-type]
+        except wire.WireError as error:
+            raise PeerError(str(error)) from None
--- a/driftcleat/store/client.py
+++ b/driftcleat/store/client.py
@@ -9,7 +9,7 @@
 
 from driftcleat import wire
 from driftcleat.errors import DriftcleatError
-from driftcleat.net import ConnectError, HttpClient, HttpError
+from driftcleat.net import ConnectError, HttpAnswer, HttpClient, HttpError
 from driftcleat.wire import state as messages
 
 log = logging.getLogger(__name__)
@@ -126,15 +126,14 @@
                 await asyncio.sleep(delay)
         self.requests.take(1)
         try:
-            status, data = await self._exchange(
-                method, path, body, params, timeout_s or self.limits.timeout_s, urgent
-            )
+            answer = await self.exchange(method, path, body, params, timeout_s or self.limits.timeout_s, urgent)
         except ConnectError as error:
             self.refused_at = self.clock()
             raise RefusedError(f"no connection: {error}") from None
         except (HttpError, TimeoutError) as error:
             self.refused_at = self.clock()
             raise UnknownOutcomeError(f"no answer: {error!r}") from None
+        status, data = answer.status, answer.body
         if status == 429:
             raise RefusedError("too many requests")
         if status >= 500:
@@ -149,7 +148,7 @@
             raise RejectedError(str(self._bad(f"{method} {path}: {data[:200]!r}")))
         return status, data
 
-    async def _exchange(
+    async def exchange(
         self,
         method: str,
         path: str,
@@ -157,12 +156,11 @@
         params: dict[str, str] | None,
         timeout_s: float,
         urgent: bool,
-    ) -> tuple[int, bytes]:
-        """Send one request; return status and body."""
+    ) -> HttpAnswer:
+        """Send one request."""
         client = self.lease_client if urgent else self.client
         target = quote(path) + (f"?{urlencode(params)}" if params else "")
-        answer = await client.request(method, self.address, target, body, timeout_s)
-        return answer.status, answer.body
+        return await client.request(method, self.address, target, body, timeout_s)
 
     def _bad(self, why: str) -> MalformedError:
         self.malformed += 1
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -1,11 +1,11 @@
 """How jobs lie in the store: compact task ranges, big jobs in chunks, ended jobs as a tiny final state."""
 
-import asyncio
 from typing import Any
 
 import msgspec
 
 from driftcleat import wire
+from driftcleat.background import in_slices
 from driftcleat.errors import DriftcleatError
 from driftcleat.model.batch import ENTRY_BYTES, HEAD_BYTES, Batch
 from driftcleat.model.jobs import Job, JobState, Place, TaskState
@@ -267,17 +267,13 @@
     machines' work.
     """
     jobs: dict[str, Job] = {}
-    for number, item in enumerate(heads, 1):
+    async for item in in_slices(heads, RECORDS_AT_ONCE):
         job = load_head(item)
         jobs[job.id] = job
-        if number % RECORDS_AT_ONCE == 0:
-            await asyncio.sleep(0)
     orphans: list[str] = []
-    for number, item in enumerate(chunks, 1):
+    async for item in in_slices(chunks, RECORDS_AT_ONCE):
         if not _load_chunk(jobs, item):
             orphans.append(item.key)
-        if number % RECORDS_AT_ONCE == 0:
-            await asyncio.sleep(0)
     return jobs, orphans
 
 
--- a/driftcleat/term/term.py
+++ b/driftcleat/term/term.py
@@ -229,6 +229,15 @@
         for call in batch.after:
             call()
 
+    def note_end_elsewhere(self, job_id: str, state: JobState) -> None:
+        """A job that ours need, and that another scheduler has, is done or cancelled: what waited for it may go on.
+
+        Guards against a job that stays out of the queue, which is kept until the next commit: seen in a random walk.
+        """
+        self.cluster.note_end_elsewhere(job_id, state, self.clock())
+        self.queue.invalidate()
+        self.pacing.note_change()
+
     def _note_changed(self, job: Job) -> None:
         """A job changes with a commit: remember how it ended, or send its stops at once."""
         if job.state in (JobState.DONE, JobState.GONE):
--- a/driftcleat/workers/commands.py
+++ b/driftcleat/workers/commands.py
@@ -7,7 +7,7 @@
 import logging
 
 from driftcleat import wire
-from driftcleat.net import HttpClient, HttpError
+from driftcleat.net import HttpAnswer, HttpClient, HttpError
 from driftcleat.wire.workers import DirectOrders, Report, Signal
 
 log = logging.getLogger(__name__)
@@ -49,16 +49,15 @@
 
     async def _post(self, addr: str, body: bytes, timeout_s: float) -> Report | None:
         try:
-            status, data = await self._exchange(addr, body, timeout_s)
-            if status == 409:
-                return wire.decode(data, Report)
+            answer = await self.exchange(addr, body, timeout_s)
+            if answer.status == 409:
+                return wire.decode(answer.body, Report)
         except (HttpError, TimeoutError, wire.WireError) as error:
             log.debug("worker %s: %r", addr, error)
         return None
 
-    async def _exchange(self, addr: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
-        """Send one request; return status and body."""
+    async def exchange(self, addr: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        """Send one request."""
         # Several workers may be behind one port, told apart by the path in their address.
         host, slash, path = addr.partition("/")
-        answer = await self.client.request("POST", host, f"{slash}{path}/commands", body, timeout_s)
-        return answer.status, answer.body
+        return await self.client.request("POST", host, f"{slash}{path}/commands", body, timeout_s)
--- a/driftcleat/workers/dispatch.py
+++ b/driftcleat/workers/dispatch.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from driftcleat.background import Background
+from driftcleat.background import Background, in_slices
 from driftcleat.leadership import CurrentTerm
 from driftcleat.model import stop_commands
 from driftcleat.settings import Platform, Tuning
@@ -55,10 +55,8 @@
             term = self._current.term
             if term is None or not self._current.election.answers_workers:
                 continue
-            for number, name in enumerate(list(term.cluster.machines), 1):
+            async for name in in_slices(list(term.cluster.machines), MACHINES_AT_ONCE):
                 self._send_stops(term, name)
-                if number % MACHINES_AT_ONCE == 0:
-                    await asyncio.sleep(0)
             self._current.wake_writer()
 
     def _send_stops(self, term: Term, name: str) -> None:
--- a/driftcleat/writer.py
+++ b/driftcleat/writer.py
@@ -50,6 +50,8 @@
         # The version of the key that names the last batch, and the number of that batch in this term.
         self._mark_version = 0
         self.batch_number = 0
+        # Whether a batch is under way whose outcome is not known yet.
+        self.busy = False
 
     def begin(self, mark_version: int) -> None:
         """A new term begins; the key that names the last batch has this version."""
@@ -66,7 +68,11 @@
             self._current.work.clear()
             term = self._current.to_decide
             if term is not None and term.has_work:
-                await self._write(term)
+                self.busy = True
+                try:
+                    await self._write(term)
+                finally:
+                    self.busy = False
 
     async def _write(self, term: Term) -> None:
         """Build a batch and see it through."""
--- /dev/null
+++ b/tests/sharing_simulation.py
@@ -0,0 +1,166 @@
+"""The simulated site with sharing switched on: three hosts, and the invariants of sharing checked as time goes."""
+
+import asyncio
+import json
+import random
+from types import SimpleNamespace
+from typing import Any
+
+from driftcleat import wire
+from driftcleat.net import ConnectionLimiter, SocketBudget
+from driftcleat.settings import Platform, Tuning
+from driftcleat.sharing.allotments import Allotment, limit_of
+from driftcleat.sharing.host import SharingHost
+from driftcleat.sharing.keys import ALLOTMENTS, ASSIGNMENT, MACHINES, share_root
+from driftcleat.sharing.settings import SharingSettings
+from driftcleat.store.records import LEADER, ROOT
+
+from .simulation import LABELS, Simulation, _Cloud, _Peers, _Store, _Workers
+from .standins import WatchingStore
+from .world import PlainWorker, RuleBrokenError, Running
+
+SHARES = 3
+
+
+class SimulatedHost(SharingHost):
+    """The real host without sockets."""
+
+    def __init__(self, simulation: "SharedSimulation", platform: Platform, rng: random.Random) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(platform, Tuning(), simulation.sharing, rng, loop.time, loop.time)
+        self.simulation = simulation
+
+    def connect(self, sockets: SocketBudget) -> list[Any]:
+        none: Any = SimpleNamespace()
+        platform = self.platform
+        self.store = self._named(_Store(none, none, "", self.store_limits, self.clock))
+        self.cloud = self._named(_Cloud(none, "", platform.cloud_rps, platform.report_s, self.clock))
+        self.workers = self._named(_Workers(none, platform.report_s, 64))
+        return []
+
+    def _named(self, client: Any) -> Any:
+        client.simulation, client.label = self.simulation, self.platform.label
+        return client
+
+    def make_peers(self, share: int) -> Any:
+        return self.make_sharing_client("/peer" if share == 0 else f"/peer/{share}")
+
+    def make_sharing_client(self, path: str) -> Any:
+        none: Any = SimpleNamespace()
+        return self._named(_Peers(none, self.platform, path))
+
+    async def listen(self, sockets: SocketBudget) -> list[Any]:
+        self.front = SimpleNamespace(limiter=ConnectionLimiter(1000, lambda guest: None))  # type: ignore[assignment]
+        return []
+
+
+class SharedSimulation(Simulation):
+    """The simulated site, its controllers sharing the machines."""
+
+    controllers: dict[str, SimulatedHost]  # type: ignore[assignment]
+
+    def __init__(self, seed: int, shares: int = SHARES, balance: float = 0.0, **limits: Any) -> None:
+        super().__init__(seed, **limits)
+        self.sharing = SharingSettings(shares=shares, balance=balance)
+        self.state = WatchingStore(self.store)
+        # Who started a task on a machine under which token: one share's leaders only.
+        self.machine_shares: dict[str, int] = {}
+        self.moves = 0
+
+    def start(self, label: str) -> None:
+        host = SimulatedHost(self, self.platforms[label], random.Random(self.rng.random()))
+        self.controllers[label] = host
+        self.processes[label] = asyncio.ensure_future(host.run())
+
+    def end(self, *labels: str) -> None:
+        for label in labels:
+            if label in self.processes:
+                for engine in self.controllers[label].engines.values():
+                    for task in engine.background.tasks:
+                        task.cancel()
+        super().end(*labels)
+
+    def up(self, label: str) -> bool:
+        return label in self.processes and self.controllers[label].is_set_up(0)
+
+    def lead(self) -> str | None:
+        return next((label for label in sorted(self.processes) if self.controllers[label].holds), None)
+
+    def owner(self, share: int) -> str | None:
+        """Return who leads a share for certain."""
+        owners = [label for label in sorted(self.processes) if self.controllers[label].leads(share)]
+        assert len(owners) <= 1, f"share {share} is led by {owners}"
+        return owners[0] if owners else None
+
+    def all_led(self) -> bool:
+        """Whether every share is led."""
+        return ASSIGNMENT in self.store.data and all(self.owner(share) for share in range(self.sharing.shares))
+
+    async def ready(self) -> None:
+        """Wait until sharing has begun and every share is led."""
+        await self.until(self.all_led)
+
+    async def order_move(self, share: int, receiver: str) -> tuple[int, Any]:
+        """An operator asks for a move, at any controller."""
+        up = [other for other in LABELS if self.up(other)]
+        if not up:
+            return 0, None
+        label = self.rng.choice(up)
+        body = wire.encode({"share": share, "receiver": receiver})
+        answer = await self.controllers[label].handle_back("POST", "/shares/move", body)
+        return answer.status, json.loads(answer.body) if answer.body else None
+
+    def tamper(self, key: str, value: Any) -> None:
+        """Somebody writes a key that is not theirs."""
+        self.store.revision += 1
+        self.store.data[key] = (value, self.store.revision)
+        assert isinstance(self.state, WatchingStore)
+        self.state.note({"put": key, "v": value}, self.store.revision)
+
+    def assignment(self) -> Any:
+        """Return the stored assignment as plain data."""
+        return self.store.data[ASSIGNMENT][0]
+
+    # -- invariants ---------------------------------------------------------------------------------------
+
+    def check_sharing(self) -> None:
+        """Raise `RuleBrokenError` unless the invariants of `docs/sharing.md` hold just now."""
+        for share in range(self.sharing.shares):
+            self.owner(share)
+        for key, (value, _) in self.store.data.items():
+            if key.startswith(MACHINES):
+                name = key[len(MACHINES) :]
+                if self.machine_shares.setdefault(name, value) != value:
+                    raise RuleBrokenError(f"two owners: {name} was of share {self.machine_shares[name]}, now {value}")
+            elif key.startswith(ALLOTMENTS):
+                self._check_allotment(key[len(ALLOTMENTS) :], value)
+
+    def _check_allotment(self, team: str, value: Any) -> None:
+        total = wire.convert(value, Allotment).total()
+        if not limit_of(self.platform.teams[team]).covers(total):
+            raise RuleBrokenError(f"quota: {team}'s parts add up to {total}")
+
+    def check_start(self, worker: PlainWorker, task: Running) -> None:
+        """As everywhere; and a task of a job starts only on a machine of the job's own share."""
+        super().check_start(worker, task)
+        home = next(
+            (
+                share
+                for share in range(self.sharing.shares)
+                if f"{share_root(share)}jobs/{task.job.id}" in self.store.data
+            ),
+            None,
+        )
+        owner = self.store.data.get(MACHINES + worker.name, (None, 0))[0]
+        if home is not None and owner is not None and owner != home:
+            self.broken = RuleBrokenError(f"two owners: {worker.name} of share {owner} runs {task.job.id} of {home}")
+            raise self.broken
+
+    async def rest(self, seconds: float) -> None:
+        await super().rest(seconds)
+        self.check_sharing()
+
+
+def leader_key(share: int) -> str:
+    """Return where a share's leader key lies."""
+    return LEADER if share == 0 else share_root(share) + LEADER[len(ROOT) :]
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -17,7 +17,7 @@
 from driftcleat.controller import Controller
 from driftcleat.fleet.cloud import CloudClient
 from driftcleat.leadership import Role
-from driftcleat.net import ConnectionLimiter, HttpError, SocketBudget
+from driftcleat.net import ConnectionLimiter, HttpAnswer, HttpError, SocketBudget
 from driftcleat.peers import PeerClient
 from driftcleat.placement.candidates import allowed, fits
 from driftcleat.settings import Tuning
@@ -79,7 +79,7 @@
     simulation: "Simulation"
     label: str
 
-    async def _exchange(
+    async def exchange(
         self,
         method: str,
         path: str,
@@ -87,33 +87,38 @@
         params: dict[str, str] | None,
         timeout_s: float,
         urgent: bool,
-    ) -> tuple[int, bytes]:
-        return await asyncio.wait_for(
+    ) -> HttpAnswer:
+        answer = await asyncio.wait_for(
             self.simulation.to_store(self.label, method, path, params or {}, body or b""), timeout_s
         )
+        return HttpAnswer(*answer)
 
 
 class _Cloud(CloudClient):
     simulation: "Simulation"
     label: str
 
-    async def _exchange(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
-        return await asyncio.wait_for(self.simulation.to_cloud(method, path, body or b""), self.timeout_s)
+    async def exchange(self, method: str, path: str, body: bytes | None) -> HttpAnswer:
+        return HttpAnswer(
+            *await asyncio.wait_for(self.simulation.to_cloud(method, path, body or b""), self.timeout_s)
+        )
 
 
 class _Peers(PeerClient):
     simulation: "Simulation"
 
-    async def _exchange(self, address: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
-        return await asyncio.wait_for(self.simulation.to_peer(self.label, address, body), timeout_s)
+    async def exchange(self, address: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        return HttpAnswer(
+            *await asyncio.wait_for(self.simulation.to_peer(self.label, address, body, self.path), timeout_s)
+        )
 
 
 class _Workers(WorkerClient):
     simulation: "Simulation"
     label: str
 
-    async def _exchange(self, addr: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
-        return await asyncio.wait_for(self.simulation.to_worker(self.label, addr, body), timeout_s)
+    async def exchange(self, addr: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        return HttpAnswer(*await asyncio.wait_for(self.simulation.to_worker(self.label, addr, body), timeout_s))
 
 
 class SimulatedController(Controller):
@@ -377,7 +382,7 @@
         self.state.expire()
         self.state.txn(body)
 
-    async def to_peer(self, sender: str, address: str, body: bytes) -> tuple[int, bytes]:
+    async def to_peer(self, sender: str, address: str, body: bytes, path: str = "/peer") -> tuple[int, bytes]:
         """Carry a message to another controller."""
         label = address.partition(":")[0]
         await asyncio.sleep(0.002)
@@ -387,7 +392,7 @@
             raise HttpError("refused")
         if sender in self.old:
             body = as_production_says(body)
-        answer = await self.controllers[label].answer_peer(body)
+        answer = await self.controllers[label].handle_back("POST", path, body)
         if frozenset((sender, label)) in self.apart:
             await self.forever()
         if not self.up(label):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins that speak HTTP: state service, cloud and workers, for real controllers on loopback."""
 
 import asyncio
+import bisect
 import json
 import random
 import socket
@@ -171,6 +172,57 @@
         return 200, {"logline": revision}
 
 
+class WatchingStore(StoreServer):
+    """A state service whose watches tell every change under a prefix, as the protocol says."""
+
+    def __init__(self, store: PlainStore) -> None:
+        super().__init__(store)
+        self.log: list[dict[str, Any]] = []
+        self._revisions: list[int] = []
+
+    def note(self, change: dict[str, Any], revision: int) -> None:
+        """Remember a change."""
+        self.log.append(change | {"entry": revision})
+        self._revisions.append(revision)
+
+    def txn(self, body: bytes) -> tuple[int, Any]:
+        status, answer = super().txn(body)
+        if status == 200:
+            for change in json.loads(body)["then"]:
+                kept = {key: change[key] for key in ("put", "remove", "v") if key in change}
+                self.note(kept, answer["logline"])
+        return status, answer
+
+    def end(self, lease: int) -> None:
+        keys = [key for key, other in self.attached.items() if other == lease and key in self.store.data]
+        super().end(lease)
+        for key in keys:
+            self.note({"remove": key}, self.store.revision)
+
+    def changes(self, prefix: str, revision: int) -> list[dict[str, Any]]:
+        """Return what changed under a prefix after a revision."""
+        after = self.log[bisect.bisect_right(self._revisions, revision) :]
+        return [entry for entry in after if str(entry.get("put", entry.get("remove"))).startswith(prefix)]
+
+    async def answer(
+        self, sender: str, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        if path != "/watch" or self.refuses(sender):
+            return await super().answer(sender, method, path, query, body)
+        revision, end, prefix = int(query["from"]), self.now() + int(query["waitMs"]) / 1000, query["under"]
+        seen = revision
+        while True:
+            if "all" not in self.down_for:
+                self.expire()
+            found = self.changes(prefix, seen)
+            seen = self.store.revision
+            if (found and not self.refuses(sender)) or self.now() >= end:
+                return 200, {"logline": self.store.revision, "log": found}
+            if found:
+                seen = revision
+            await asyncio.sleep(0.02)
+
+
 class LiveWorld(World):
     """The plain world on the real clock, its workers talking HTTP to real controllers."""
 
@@ -309,10 +361,10 @@
         self.world.session = aiohttp.ClientSession()
         self.world.addresses["workers"] = f"127.0.0.1:{self.ports['workers']}"
         self.runners = [
-            await serve(self.store.handle, self.ports["state"]),
             await serve(self.world.cloud, self.ports["cloud"]),
             await serve(self.world.commands, self.ports["workers"]),
         ]
+        await self.start_store()
         self.world.now = asyncio.get_running_loop().time()
         self.clock = asyncio.ensure_future(self.world.live())
         for label in "abc":
@@ -329,6 +381,10 @@
         assert self.world.session is not None
         await self.world.session.close()
 
+    async def start_store(self) -> None:
+        """Start the state service."""
+        self.runners.append(await serve(self.store.handle, self.ports["state"]))
+
     def start(self, label: str) -> None:
         """Start a controller."""
         from driftcleat.controller import Controller
--- /dev/null
+++ b/tests/test_cli_shares.py
@@ -0,0 +1,97 @@
+"""`run.py shares` against a controller that answers by rote: what it prints and how it exits."""
+
+import json
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from driftcleat.cli.commands import main
+from tools.mixed import toml
+
+from .samples import raw_settings
+
+ROW = {"share": 1, "owner": "b", "leader": "b", "token": 7, "state": "owned", "machines": 3, "moving_to": "c"}
+VIEW = {
+    "controller": "b",
+    "coordinator": "a",
+    "begun": True,
+    "refusal": None,
+    "moves_received": 2,
+    "shares": [ROW | {"refused": "c is silent"}],
+}
+
+
+class Rote(BaseHTTPRequestHandler):
+    """Answers every GET with the shares and every POST with what is set."""
+
+    order: tuple[int, dict[str, Any]] = (200, {})
+    shown: tuple[int, dict[str, Any]] = (200, VIEW)
+
+    def _answer(self, status: int, value: Any) -> None:
+        body = json.dumps(value).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def do_GET(self) -> None:
+        self._answer(*self.shown)
+
+    def do_POST(self) -> None:
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self._answer(*self.order)
+
+    def log_message(self, *_: Any) -> None:
+        pass
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    server = HTTPServer(("127.0.0.1", 0), Rote)
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.shutdown()
+    server.server_close()
+
+
+def run(*words: str) -> Result:
+    return CliRunner().invoke(main, ["shares", *words])
+
+
+def test_shares_are_shown_with_their_moves_and_why_the_last_was_refused(address: str) -> None:
+    shown = run(address)
+    assert shown.exit_code == 0
+    assert "share 1: assigned to b, led by b (token 7), here owned, 3 machines, moving to c" in shown.output
+    assert "last move refused: c is silent" in shown.output
+    assert json.loads(run(address, "--json").output) == VIEW
+
+
+def test_an_order_is_carried_out_or_refused_with_the_reason(address: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    assert run("move", address, "1", "c").exit_code == 0
+    monkeypatch.setattr(Rote, "order", (409, {"error": "b owns share 1 already"}))
+    refused = run("move", address, "1", "b")
+    assert refused.exit_code == 3 and "b owns share 1 already" in refused.output
+    monkeypatch.setattr(Rote, "shown", (404, {"error": "no such path"}))
+    assert run(address).exit_code == 3
+
+
+@pytest.mark.parametrize("words", [(), ("move", "x:1"), ("move", "x:1", "one", "b"), ("split", "x:1", "1", "2")])
+def test_what_is_no_order_exits_with_2(words: tuple[str, ...]) -> None:
+    assert run(*words).exit_code == 2
+
+
+def test_nobody_there_exits_with_1_and_wrong_settings_with_2(tmp_path: Path) -> None:
+    assert run("127.0.0.1:1").exit_code == 1
+    wrong = tmp_path / "sharing.ini"
+    wrong.write_text("[sharing]\nshares = 99\n")
+    site = tmp_path / "site.toml"
+    site.write_text("".join(f"{key} = {toml(value)}\n" for key, value in raw_settings().items()))
+    assert CliRunner().invoke(main, ["check", str(site)]).exit_code == 0
+    refused = CliRunner().invoke(main, ["check", str(site), "--sharing", str(wrong)])
+    assert refused.exit_code == 2 and "sharing.shares" in refused.output
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -37,6 +37,7 @@
     loaded = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True).stdout.split()
     assert "driftcleat.controller" in loaded
     assert not set(NOT_AT_START) & set(loaded)
+    assert not any(name.startswith("driftcleat.sharing") for name in loaded), "off, sharing costs nothing"
 
 
 def test_sizing_looks_at_kinds_of_jobs_and_machines_not_at_each_of_them() -> None:
--- a/tests/test_meetings_walk.py
+++ b/tests/test_meetings_walk.py
@@ -69,7 +69,7 @@
         sim.start(rng.choice(missing))
 
 
-def on_some(name: str) -> Callable[[Simulation, random.Random], None]:
+def on_some(name: str) -> "Trouble":
     """Some machines fall into a state, or leave it."""
 
     def happen(sim: Simulation, rng: random.Random) -> None:
@@ -123,7 +123,9 @@
         worker.only = None  # type: ignore[attr-defined]
 
 
-TROUBLES = [
+Trouble = Callable[[Simulation, random.Random], None]
+
+TROUBLES: list[Trouble] = [
     refuse_one,
     outage,
     outage_ends,
--- /dev/null
+++ b/tests/test_sharing_parts.py
@@ -0,0 +1,348 @@
+"""The pure parts of sharing: settings, assignments, allotments, the planner, keys."""
+
+from collections.abc import Callable
+from itertools import product
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from driftcleat import wire
+from driftcleat.settings import SettingsError, Team
+from driftcleat.sharing.allotments import (
+    NONE,
+    ROUNDING,
+    Allotment,
+    Amount,
+    Demand,
+    allotted,
+    first_allotment,
+    raised,
+    targets,
+)
+from driftcleat.sharing.assignment import (
+    Assignment,
+    AssignmentError,
+    begin_move,
+    complete_move,
+    drop_move,
+    grow,
+    initial_assignment,
+    read_assignment,
+    reassign,
+)
+from driftcleat.sharing.coordinator import Coordinator
+from driftcleat.sharing.keys import ASSIGNMENT, in_share, without_share
+from driftcleat.sharing.messages import ShareStatus
+from driftcleat.sharing.planner import ShareLoad, loads_by_owner, propose
+from driftcleat.sharing.settings import SharingSettings, load_sharing
+from driftcleat.store.records import CHUNKS, JOBS, LEADER
+
+LABELS = ("a", "b", "c")
+TEAM = Team("red", 0.0, 0.0, 4.0, 12.0)
+
+
+def write(folder: Path, text: str) -> str:
+    path = folder / "sharing.ini"
+    path.write_text(text)
+    return str(path)
+
+
+def test_the_settings_that_are_shipped_are_the_defaults() -> None:
+    shipped = Path(__file__).parent.parent / "deploy" / "sharing.ini"
+    assert load_sharing(str(shipped)) == SharingSettings()
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("", "sharing: the one section"),
+        ("[sharing]\nshares = 0", "sharing.shares: must be a whole number 1 to 32"),
+        ("[sharing]\nshares = 2.5", "sharing.shares: must be a whole number 1 to 32"),
+        ("[sharing]\nshares = many", "sharing.shares: must be a number"),
+        ("[sharing]\nmove = nan", "sharing.move: must be 1 to 100"),
+        ("[sharing]\nsplit = 1", "sharing.split: unknown key"),
+        ("[sharing]\n[other]\n", "other: unknown section"),
+        ("shares = 3", "is not INI"),
+    ],
+)
+def test_wrong_settings_are_refused_with_the_reason(tmp_path: Path, text: str, named: str) -> None:
+    with pytest.raises(SettingsError, match=r"sharing\.ini") as refused:
+        load_sharing(write(tmp_path, text))
+    assert named in str(refused.value) and "\n" not in str(refused.value)
+
+
+# -- assignments ------------------------------------------------------------------------------------------
+
+
+def test_an_assignment_survives_being_stored() -> None:
+    assignment = begin_move(initial_assignment(4, LABELS, "vm-7"), 1, "c", LABELS)
+    assert read_assignment(wire.encode(assignment), LABELS) == assignment
+
+
+FIRST = initial_assignment(3, LABELS, "")
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        (lambda: begin_move(FIRST, 7, "a", LABELS), "there is no share 7"),
+        (lambda: begin_move(FIRST, -1, "a", LABELS), "there is no share -1"),
+        (lambda: begin_move(FIRST, 0, "a", LABELS), "goes with the coordinator"),
+        (lambda: begin_move(FIRST, 1, "x", LABELS), "unknown controller x"),
+        (lambda: begin_move(FIRST, 1, "b", LABELS), "b owns share 1 already"),
+        (lambda: begin_move(begin_move(FIRST, 1, "c", LABELS), 1, "a", LABELS), "is being moved already"),
+        (lambda: complete_move(FIRST, 1), "is not being moved"),
+        (lambda: reassign(FIRST, 0, "a"), "cannot be reassigned"),
+    ],
+)
+def test_impossible_changes_are_refused_with_the_reason(change: Callable[[], Assignment], why: str) -> None:
+    with pytest.raises(AssignmentError, match=why):
+        change()
+
+
+@pytest.mark.parametrize(
+    ("value", "why"),
+    [
+        (b'[1,["","b"', "malformed"),
+        (b"{}", "malformed"),
+        (b'[1,["","b"],[[1]]]', "malformed"),
+        (b'[2,["","b"]]', "form 2"),
+        (b"[1,[]]", "has no owner of its own"),
+        (b'[1,["a","b"]]', "has no owner of its own"),
+        (b'[1,["","x"]]', "unknown controller x"),
+        (b'[1,["","b"],[[5,"a",1]]]', "no share 5"),
+        (b'[1,["","b"],[[1,"b",1]]]', "owns share 1 already"),
+        (b'[1,["","b"],[[1,"a",1],[1,"c",2]]]', "moved twice"),
+    ],
+)
+def test_a_stored_assignment_that_cannot_be_acted_on_is_refused(value: bytes, why: str) -> None:
+    with pytest.raises(AssignmentError, match=why):
+        read_assignment(value, LABELS)
+
+
+def test_a_move_is_completed_or_dropped_and_its_number_never_comes_again() -> None:
+    moving = begin_move(FIRST, 1, "c", LABELS)
+    assert complete_move(moving, 1).owner(1) == "c" and not complete_move(moving, 1).moves
+    dropped = drop_move(moving, 1)
+    assert dropped.owner(1) == "b"
+    again = begin_move(dropped, 1, "c", LABELS).move_of(1)
+    assert again is not None and again.number == 2
+
+
+def test_shares_that_are_added_leave_the_others_as_they_are() -> None:
+    larger = grow(complete_move(begin_move(FIRST, 1, "c", LABELS), 1), 5, LABELS)
+    assert larger.owners[:3] == ("", "c", "c") and larger.shares == 5
+
+
+# -- keys -------------------------------------------------------------------------------------------------
+
+
+def test_each_share_has_its_own_keys_and_the_first_those_of_a_deployment_without_sharing() -> None:
+    keys = (LEADER, JOBS + "req-000001", CHUNKS + "req-000001/2.1")
+    stored = {in_share(share, key) for share, key in product(range(12), keys)}
+    assert len(stored) == 36
+    assert all(in_share(0, key) == key for key in keys)
+    assert all(without_share(share, in_share(share, key)) == key for share, key in product(range(12), keys))
+    assert in_share(3, ASSIGNMENT) == ASSIGNMENT
+
+
+# -- allotments -------------------------------------------------------------------------------------------
+
+amounts = st.builds(Amount, st.just(0.0), st.integers(0, 30).map(float))
+demands = st.lists(
+    st.builds(
+        lambda used, more, first, waited: Demand(used, used + more, first, waited),
+        amounts,
+        amounts,
+        amounts,
+        st.sampled_from([0.0, 5.0, 60.0]),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@given(demands, st.integers(1, 40).map(float))
+def test_targets_never_add_up_to_more_than_the_limit_and_leave_nothing(found: list[Demand], limit: float) -> None:
+    parts = targets(Amount(0.0, limit), found, 15.0)
+    assert abs(sum(part.gpus for part in parts) - limit) < 1e-3
+    assert all(part.gpus >= 0 for part in parts)
+
+
+@given(demands, st.integers(1, 40).map(float))
+def test_whoever_lowers_and_raises_the_parts_stay_within_the_limit(found: list[Demand], limit: float) -> None:
+    """Owners lower to what they use, the coordinator raises by what is free: in any order, step by step."""
+    whole = Amount(0.0, limit)
+    allotment = first_allotment(Team("red", 0.0, 0.0, 0.0, limit), len(found))
+    for _ in range(3):
+        wishes = targets(whole, found, 15.0)
+        allotment = raised(whole, allotment, wishes)
+        assert whole.covers(allotment.total())
+        for share, wish in enumerate(wishes):
+            part = allotment.part(share)
+            lower = wish.at_least(found[share].used).at_most(part)
+            allotment = allotment.with_part(share, lower)
+        assert whole.covers(allotment.total())
+
+
+def test_a_job_larger_than_its_share_comes_to_its_turn() -> None:
+    """The other shares give up what it lacks, once it has waited for long."""
+    limit = Amount(0.0, 12.0)
+    greedy = Demand(Amount(0.0, 4.0), Amount(0.0, 40.0))
+    large = Demand(NONE, Amount(0.0, 10.0), Amount(0.0, 10.0), 0.0)
+    assert targets(limit, [greedy, greedy, large], 15.0)[2].gpus < 10.0
+    waited = Demand(NONE, Amount(0.0, 10.0), Amount(0.0, 10.0), 16.0)
+    assert targets(limit, [greedy, greedy, waited], 15.0)[2].gpus >= 10.0
+
+
+def test_parts_are_whole() -> None:
+    parts = targets(Amount(0.0, 8.0), [Demand(NONE, Amount(0.0, 9.0))] * 3, 15.0)
+    assert sorted(part.gpus for part in parts) == [2.0, 3.0, 3.0]
+
+
+def test_a_part_of_nothing_is_not_a_limit_of_none() -> None:
+    assert 0.0 < allotted(TEAM, NONE, 0.0).gpus_max < ROUNDING
+    assert allotted(TEAM, NONE, 0.0).cpus_max == 0.0, "the team has no limit of processors"
+
+
+# -- the planner ------------------------------------------------------------------------------------------
+
+fleets = st.lists(st.tuples(st.sampled_from(LABELS), st.integers(0, 100)), min_size=1, max_size=8)
+
+
+@given(fleets)
+def test_a_proposed_move_is_the_best_one_and_worth_its_cost(fleet: list[tuple[str, int]]) -> None:
+    """Against a plain model that plays every move."""
+    loads = [ShareLoad(share, owner, float(load)) for share, (owner, load) in enumerate(fleet)]
+    proposal = propose(loads, LABELS, 0.5)
+    before = max(loads_by_owner(loads, LABELS).values())
+    peaks = {
+        (entry.share, receiver): max(
+            loads_by_owner(
+                [ShareLoad(e.share, receiver if e is entry else e.owner, e.load) for e in loads], LABELS
+            ).values()
+        )
+        for entry in loads
+        for receiver in LABELS
+        if entry.share and receiver != entry.owner
+    }
+    worth = sum(entry.load for entry in loads) / 3 * 0.5
+    best = min(peaks.values(), default=before)
+    if proposal is None:
+        assert before - best < worth or before == 0
+    else:
+        assert peaks[(proposal.share, proposal.receiver)] == best and before - best >= worth
+
+
+def test_even_loads_are_left_alone() -> None:
+    loads = [ShareLoad(share, LABELS[share % 3], 10.0 + share) for share in range(6)]
+    assert propose(loads, LABELS, 0.5) is None
+
+
+# -- the coordinator --------------------------------------------------------------------------------------
+
+
+def coordinator(balance: float = 0.0) -> Coordinator:
+    return Coordinator(SharingSettings(shares=3, balance=balance), LABELS, {"red": TEAM}, 2.0, 10.0)
+
+
+def status(share: int, machines: int = 1) -> ShareStatus:
+    return ShareStatus(share, 5, machines, 0)
+
+
+def test_sharing_begins_only_once_every_controller_was_heard() -> None:
+    decides = coordinator()
+    decides.begin(0.0)
+    decides.note("a", [], 0.1)
+    decides.note("b", [], 0.1)
+    assert not decides.may_begin(0.2)
+    decides.note("x", [], 0.1)
+    assert not decides.may_begin(0.2)
+    decides.note("c", [], 0.2)
+    assert decides.may_begin(0.3) and not decides.may_begin(60.0)
+
+
+def test_the_shares_of_a_silent_controller_go_to_another_but_not_before_everybody_could_be_heard() -> None:
+    decides = coordinator()
+    decides.begin(0.0)
+    decides.note("a", [status(0)], 0.1)
+    assert decides.next_assignment(FIRST, 0.2) is None
+    for now in (2.0, 4.0, 6.0, 8.0):
+        decides.note("a", [status(0)], now)
+        decides.note("c", [status(2)], now)
+    following = decides.next_assignment(FIRST, 8.1)
+    assert following is not None and following.owners == ("", "a", "c")
+
+
+def test_a_move_that_takes_too_long_or_whose_receiver_is_lost_is_given_up_and_said() -> None:
+    decides = coordinator()
+    decides.begin(0.0)
+    moving = begin_move(FIRST, 1, "c", LABELS)
+    for second in range(1, 13):
+        for label in LABELS:
+            decides.note(label, [], float(second))
+        following = decides.next_assignment(moving, float(second))
+        assert following == (drop_move(moving, 1) if second > 11 else None)
+    assert decides.refusals[1] == "c did not take it in time"
+    decides.begin(20.0)
+    for now in (21.0, 24.0, 27.0):
+        decides.note("a", [], now)
+        decides.note("b", [], now)
+    assert decides.next_assignment(moving, 27.0) == drop_move(moving, 1)
+    assert decides.refusals[1] == "c is silent"
+
+
+def test_shares_are_balanced_one_at_a_time_and_only_while_all_is_well() -> None:
+    decides = coordinator(balance=1.0)
+    decides.begin(0.0)
+    lopsided = Assignment(1, ("", "a", "a"))
+
+    def heard(now: float) -> None:
+        decides.note("a", [status(0, 10), status(1, 30), status(2, 40)], now)
+        decides.note("b", [], now)
+
+    heard(4.0)
+    assert decides.next_assignment(lopsided, 4.0) is None, "one controller was not heard"
+    heard(6.0)
+    decides.note("c", [], 6.0)
+    following = decides.next_assignment(lopsided, 6.0)
+    assert following is not None and len(following.moves) == 1
+    decides.note("c", [], 6.1)
+    assert decides.next_assignment(following, 6.1) is None
+
+
+@pytest.mark.parametrize(
+    ("share", "receiver", "why"),
+    [(1, "x", "unknown controller x"), (1, "c", "c is silent"), (9, "a", "no share 9"), (1, "b", "owns share 1")],
+)
+def test_an_operators_order_is_refused_with_the_reason(share: int, receiver: str, why: str) -> None:
+    decides = coordinator()
+    decides.begin(0.0)
+    decides.note("a", [], 1.0)
+    decides.note("b", [], 1.0)
+    with pytest.raises(AssignmentError, match=why):
+        decides.requested(FIRST, share, receiver, 1.0)
+    with pytest.raises(AssignmentError, match="has not begun"):
+        decides.requested(None, 1, "a", 1.0)
+
+
+def test_a_share_only_gets_more_of_a_limit_once_another_has_less() -> None:
+    decides = coordinator()
+    decides.begin(0.0)
+    first = decides.next_allotment(TEAM, None, 3, 0.0)
+    assert first is not None and first.part(0).gpus == 12.0
+    # Nothing is free: what the first share does not use is to be lowered by its owner before others get it.
+    assert decides.next_allotment(TEAM, first, 3, 0.0) is None
+    told = decides.note("a", [status(0)], 0.1)
+    assert [(target.share, target.part.gpus) for target in told] == [(0, 4.0)]
+    lowered = first.with_part(0, Amount(0.0, 4.0))
+    following = decides.next_allotment(TEAM, lowered, 3, 0.2)
+    assert following is not None and [part.gpus for part in following.parts] == [4.0, 4.0, 4.0]
+    assert decides.next_allotment(Team("free", 0.0, 0.0, 0.0, 0.0), None, 3, 0.0) is None
+
+
+def test_an_allotment_knows_nothing_of_shares_that_came_later() -> None:
+    assert Allotment((Amount(0.0, 2.0),)).part(4) == NONE
+    assert Allotment((Amount(0.0, 2.0),)).with_part(2, Amount(0.0, 1.0)).parts[1] == NONE
--- /dev/null
+++ b/tools/shares/world.py
@@ -0,0 +1,164 @@
+"""The stand-ins of a run: workers that write the history, and the state service whose log tells the rest of it."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from driftcleat import wire
+from driftcleat.sharing.allotments import Allotment
+from driftcleat.sharing.keys import ALLOTMENTS, MACHINES, in_share
+from driftcleat.store.records import BATCH, LEADER, RentalRecord
+from driftcleat.wire.workers import Signal
+from tests.standins import LiveWorld, WatchingStore
+from tests.world import PlainStore, PlainWorker, RuleBrokenError, Running
+
+from .history import Allotted, Answered, Event, Lapsed, Led, MachineAssigned, MachineEnded, Started, Stopped
+
+Note = Callable[[Event], None]
+
+
+class HistoryWorker(PlainWorker):
+    """A worker that tells what it does."""
+
+    world: "HistoryWorld"
+
+    def answer(self, session: int, seq: int, token: int, signals: list[Signal], sent_at: float) -> None:
+        """Take an answer."""
+        before = self.leased_at
+        super().answer(session, seq, token, signals, sent_at)
+        if self.leased_at != before and token == self.token:
+            self.world.note(Answered(self.world.now, self.name, token))
+
+    def step(self) -> None:
+        """Let time pass; tell what has ended by it."""
+        session, running = self.session, self.live()
+        super().step()
+        if self.session != session:
+            self.world.note(Lapsed(self.world.now, self.name))
+        self.tell_stops(running)
+
+    def carry_out(self, signals: list[Signal]) -> None:
+        """Execute commands; tell what has ended by them."""
+        running = self.live()
+        super().carry_out(signals)
+        self.tell_stops(running)
+
+    def live(self) -> dict[tuple[str, int, int], Running]:
+        """Return the tasks that are on the machine."""
+        return {key: task for key, task in self.tasks.items() if task.state != "exited"}
+
+    def tell_stops(self, before: dict[tuple[str, int, int], Running]) -> None:
+        """Tell which tasks are on the machine no more."""
+        now = self.live()
+        for key, task in before.items():
+            if key not in now:
+                done = (task.job.id, task.index) in self.world.finished
+                self.world.note(Stopped(self.world.now, self.name, task.job.id, task.index, done))
+
+    def leave_quietly(self, task: Running, why: str) -> None:
+        """A gang's task follows the others; it may have been told by them already."""
+        was_live = task.state != "exited"
+        super().leave_quietly(task, why)
+        if was_live:
+            self.world.note(Stopped(self.world.now, self.name, task.job.id, task.index, why == "done"))
+
+
+class HistoryWorld(LiveWorld):
+    """Workers and cloud; every event is noted."""
+
+    def __init__(self, platform: Any, seed: int, note: Note) -> None:
+        super().__init__(platform)
+        self.rng = random.Random(seed)
+        self.note = note
+        self.rule_breaks: list[str] = []
+
+    def boot(self, record: RentalRecord) -> str:
+        """A machine comes up."""
+        self.rented += 1
+        name = f"vm-{self.rented:06d}"
+        self.workers[name] = HistoryWorker(self, name, self.types[record.type], record.zone, record.spot)
+        return name
+
+    async def cloud(self, request: web.BaseRequest) -> web.Response:
+        """Answer the cloud's interface; machines that are returned are gone."""
+        alive = {worker.name for worker in self.alive()}
+        running = {name: self.workers[name].live() for name in alive}  # type: ignore[attr-defined]
+        answer = await super().cloud(request)
+        for name in alive:
+            worker = self.workers[name]
+            if worker.gone:
+                worker.tell_stops(running[name])  # type: ignore[attr-defined]
+                self.note(MachineEnded(self.now, name))
+        return answer
+
+    def check_start(self, worker: PlainWorker, task: Running) -> None:
+        """A task starts."""
+        self.note(Started(self.now, worker.name, task.job.id, task.index, task.job.team, task.job.gpus))
+        try:
+            super().check_start(worker, task)
+        except RuleBrokenError as error:
+            self.rule_breaks.append(str(error))
+
+    async def live(self) -> None:
+        """Let the workers' time pass."""
+        while True:
+            self.now = asyncio.get_running_loop().time()
+            for worker in list(self.workers.values()):
+                worker.step()
+            await asyncio.sleep(self.pause_s)
+
+
+class HistoryStore(WatchingStore):
+    """The state service; leaders, machines' shares and allotments go into the history as they are committed."""
+
+    def __init__(self, store: PlainStore, shares: int, note: Note) -> None:
+        super().__init__(store)
+        self._note, self._shares = note, shares
+        self._leader_keys = {in_share(share, LEADER): share for share in range(shares)}
+        self._batch_keys = {in_share(share, BATCH): share for share in range(shares)}
+        self._since: dict[int, tuple[int, float]] = {}
+        # For each change of a share's leader: from its key's change to the first batch after, and whether it was a
+        # put over another's key, which only a move does.
+        self.handovers_s: list[float] = []
+        self.moves = 0
+        self.changes_in_all = 0
+        self.began = time.monotonic()
+
+    def note(self, change: dict[str, Any], revision: int) -> None:
+        """Remember a change, and tell what it means."""
+        super().note(change, revision)
+        self.changes_in_all += 1
+        key, now = change.get("put"), self.now()
+        if key is None:
+            return
+        if key in self._leader_keys:
+            share = self._leader_keys[key]
+            self._since[share] = (revision, now)
+            self._note(Led(now, share, change["v"][0], revision))
+        elif key in self._batch_keys:
+            self._note_batch(self._batch_keys[key], change["v"][0], now)
+        elif key.startswith(MACHINES):
+            self._note(MachineAssigned(now, key[len(MACHINES) :], change["v"]))
+        elif key.startswith(ALLOTMENTS):
+            allotment = wire.convert(change["v"], Allotment)
+            self._note(Allotted(now, key[len(ALLOTMENTS) :], allotment))
+
+    def _note_batch(self, share: int, token: int, now: float) -> None:
+        since = self._since.get(share)
+        if since is not None and since[0] == token:
+            self.handovers_s.append(now - since[1])
+            del self._since[share]
+
+
+class Assignments(msgspec.Struct, array_like=True):
+    """The fields of a stored assignment that a run looks at."""
+
+    format: int
+    owners: tuple[str, ...]
+    moves: list[Any]
+    moves_begun: int
