--- a/driftcleat/sharing/coordinator.py
+++ b/driftcleat/sharing/coordinator.py
@@ -33,17 +33,9 @@
 class Coordinator:
     """Remembers what controllers say, and decides from it. Nothing in it must outlive the coordinator."""
 
-    def __init__(
-        self,
-        settings: SharingSettings,
-        labels: Sequence[str],
-        teams: dict[str, Team],
-        report_s: float,
-        lease_s: float,
-    ) -> None:
-        self._settings, self._labels, self._teams = settings, sorted(labels), teams
+    def __init__(self, settings: SharingSettings, labels: Sequence[str], report_s: float) -> None:
+        self._settings, self._labels = settings, sorted(labels)
         self._report_s, self._silence_s = report_s, settings.silence * report_s
-        self._lease_s = lease_s
         self._known: dict[str, Known] = {}
         self._begun_at = 0.0
         self._move_seen_at: dict[int, float] = {}
--- a/driftcleat/sharing/duties.py
+++ b/driftcleat/sharing/duties.py
@@ -30,12 +30,9 @@
     """Sends this controller's word; takes in the others' and decides while this controller is the coordinator."""
 
     def __init__(self, host: "SharingHost") -> None:
-        platform = host.platform
         self._host = host
         self._client = SharingClient(host)
-        self.coordinator = Coordinator(
-            host.settings, host.labels, platform.teams, platform.report_s, platform.lease_s
-        )
+        self.coordinator = Coordinator(host.settings, host.labels, host.platform.report_s)
         # The token under which this controller last began to coordinate.
         self._token = 0
         self._deciding = asyncio.Lock()
--- a/driftcleat/sharing/host.py
+++ b/driftcleat/sharing/host.py
@@ -137,7 +137,7 @@
         ttl_s = platform.lease_s * self.tuning.ttl
         self.process_lease = ProcessLease(self.store, ttl_s, ttl_s * self.tuning.renew, self.clock)
         self.claims = Claims(self.store)
-        self.view = SharingView(self.store, self.labels, platform.lease_s * VIEW_WAIT, self.clock)
+        self.view = SharingView(self.store, self.labels, platform.lease_s * VIEW_WAIT)
         self.view.on_change = self._note_change
         self.registry = MachineRegistry(self.store, self.view, platform)
         self.router = UserRouter(self)
--- a/driftcleat/sharing/view.py
+++ b/driftcleat/sharing/view.py
@@ -35,10 +35,8 @@
 class SharingView:
     """The replica."""
 
-    def __init__(
-        self, store: StoreClient, labels: Collection[str], wait_s: float, clock: Callable[[], float]
-    ) -> None:
-        self._store, self._labels, self._wait_s, self._clock = store, labels, wait_s, clock
+    def __init__(self, store: StoreClient, labels: Collection[str], wait_s: float) -> None:
+        self._store, self._labels, self._wait_s = store, labels, wait_s
         self._revision = 0
         # Whether the whole was read since the start of this process.
         self.loaded = False
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -164,6 +164,31 @@
     play(story)
 
 
+def test_a_receiver_that_does_not_know_that_its_move_was_dropped_does_not_complete_it() -> None:
+    """Guards against an assignment of before that is written over a newer one."""
+
+    async def story(sim: SharedSimulation) -> None:
+        giver = str(sim.owner(1))
+        receiver = next(label for label in others(giver) if label != sim.lead())
+        host = sim.controllers[receiver]
+        sim.part(receiver)
+        assert (await sim.order_move(1, receiver))[0] == 200 or sim.lead() is None
+        await sim.until(lambda: host.view.assignment is not None and host.view.assignment.moves, 5.0)
+        # From here on its replica is not kept up to date; the coordinator drops the move.
+        host.view._take = lambda *_: None  # type: ignore[method-assign]
+        dropped = [sim.assignment()[0], sim.assignment()[1], [], *sim.assignment()[3:]]
+        sim.tamper(ASSIGNMENT, dropped)
+        await sim.rest(0.5)
+        version = sim.controllers[giver].engines[1].share_election.let_go()
+        assert version is not None
+        host.engines[1].share_election.take_over(version)
+        await sim.rest(0.5)
+        assert sim.owner(1) != receiver and sim.assignment() == dropped
+        await sim.until(lambda: sim.owner(1) == giver, 30.0)
+
+    play(story)
+
+
 def test_two_moves_that_cross_are_both_carried_out() -> None:
     async def story(sim: SharedSimulation) -> None:
         first, second = str(sim.owner(1)), str(sim.owner(2))
--- a/tests/test_sharing_parts.py
+++ b/tests/test_sharing_parts.py
@@ -245,7 +245,7 @@
 
 
 def coordinator(balance: float = 0.0) -> Coordinator:
-    return Coordinator(SharingSettings(shares=3, balance=balance), LABELS, {"red": TEAM}, 2.0, 10.0)
+    return Coordinator(SharingSettings(shares=3, balance=balance), LABELS, 2.0)
 
 
 def status(share: int, machines: int = 1) -> ShareStatus:
