--- a/driftcleat/controller.py
+++ b/driftcleat/controller.py
@@ -10,7 +10,7 @@
 from driftcleat.api import Answer, Listener, ReportApi, UserApi, serve
 from driftcleat.api.server import Reply
 from driftcleat.background import Background, run_for_ever
-from driftcleat.fleet.cloud import CloudClient
+from driftcleat.clients import connect
 from driftcleat.fleet.manager import FleetManager
 from driftcleat.leadership import CurrentTerm, Election, PeerSurvey
 from driftcleat.metrics import Metrics
@@ -21,10 +21,8 @@
 from driftcleat.peers.survey import PeerSurveyor
 from driftcleat.rebuild import rebuild
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import StoreClient, StoreLimits
 from driftcleat.store.records import DATA_VERSION
 from driftcleat.term import Term
-from driftcleat.workers import WorkerClient
 from driftcleat.workers.dispatch import StopDispatcher
 from driftcleat.writer import BatchWriter
 
@@ -36,8 +34,6 @@
 REPORTS = "/agent/beat"
 # The largest message between controllers.
 MOST_PEER_BODY = 256 * 1024
-# A request to the store has this part of a report interval.
-STORE_TIMEOUT = 0.5
 # The pause after a loop that failed, of the report interval.
 FAILURE_PAUSE = 1 / 10
 # Requests that a follower passes on to the leader at once, for each connection to it.
@@ -88,23 +84,10 @@
 
     def connect(self, sockets: SocketBudget) -> list[HttpClient]:
         """Make the clients; return what is to be closed in the end."""
-        platform = self.platform
-        # Each use has connections of its own: what hangs in one takes none from another.
-        store, lease, cloud, peers, workers = clients = [
-            part.client(platform.lease_s)
-            for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers, sockets.workers)
-        ]
-        self.store = StoreClient(store, lease, platform.state, self.store_limits, self.clock)
-        self.cloud = CloudClient(cloud, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
-        self.peers = PeerClient(peers, platform)
-        self.workers = WorkerClient(workers, platform.report_s, sockets.workers.total)
-        return clients
-
-    @property
-    def store_limits(self) -> StoreLimits:
-        """What the store takes of us."""
-        platform = self.platform
-        return StoreLimits(platform.state_rps, platform.write_rps, platform.report_s * STORE_TIMEOUT)
+        clients = connect(self.platform, sockets, self.clock)
+        self.store, self.cloud, self.workers = clients.store, clients.cloud, clients.workers
+        self.peers = PeerClient(clients.peers, self.platform)
+        return clients.connections
 
     def _assemble(self, sockets: SocketBudget) -> None:
         """Make the parts that need the clients."""
--- a/driftcleat/settings/operator.py
+++ b/driftcleat/settings/operator.py
@@ -119,7 +119,7 @@
     """Return the checked settings of an INI file (none: the defaults); `SettingsError` with one line."""
     if path is None:
         return Tuning()
-    parser = _read_ini(path)
+    parser = read_ini(path)
     known = _known_settings()
     values: dict[str, float] = {}
     for section in parser.sections():
@@ -133,7 +133,8 @@
     return Tuning(**values)
 
 
-def _read_ini(path: str) -> "configparser.ConfigParser":
+def read_ini(path: str) -> "configparser.ConfigParser":
+    """Return an INI file as it stands; `SettingsError` with one line if it is none."""
     # Loaded only where there is such a file: serving without one must not wait for it.
     import configparser
 
--- a/driftcleat/sharing/engine.py
+++ b/driftcleat/sharing/engine.py
@@ -10,12 +10,13 @@
 from driftcleat import wire
 from driftcleat.api.server import Listener
 from driftcleat.api.users import FINAL
+from driftcleat.clients import store_limits
 from driftcleat.controller import Controller
 from driftcleat.leadership import Election
 from driftcleat.model import JobState
 from driftcleat.net import HttpClient, SocketBudget
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import StoreError, StoreLimits
+from driftcleat.store.client import StoreError
 from driftcleat.store.records import LEADER
 from driftcleat.term import Term
 
@@ -62,8 +63,7 @@
     def connect(self, sockets: SocketBudget) -> list[HttpClient]:
         """Use the host's clients."""
         host = self.host
-        limits = StoreLimits(self.platform.state_rps, self.platform.write_rps, self.store_limits.timeout_s)
-        self.store = ShareStore(host.store, self.share, host.process_lease, limits)
+        self.store = ShareStore(host.store, self.share, host.process_lease, store_limits(self.platform))
         self.cloud = ShareCloud(host.cloud, self.share, host.view, host.registry, self.platform, self.clock)
         self.peers = host.make_peers(self.share)
         self.workers = host.workers
--- a/driftcleat/sharing/host.py
+++ b/driftcleat/sharing/host.py
@@ -15,17 +15,16 @@
 from driftcleat.api import Answer, Listener, serve
 from driftcleat.api.server import Reply
 from driftcleat.background import Background, run_for_ever
-from driftcleat.controller import FAILURE_PAUSE, MOST_PEER_BODY, REPORTS, STORE_TIMEOUT
-from driftcleat.fleet.cloud import CloudClient
+from driftcleat.clients import connect
+from driftcleat.controller import FAILURE_PAUSE, MOST_PEER_BODY, REPORTS
 from driftcleat.leadership import Election
 from driftcleat.net import HttpClient, SocketBudget
 from driftcleat.peers import PeerClient
 from driftcleat.peers.client import PATH
 from driftcleat.settings import Platform, Tuning
-from driftcleat.store.client import ConflictError, StoreClient, StoreError, StoreLimits
+from driftcleat.store.client import ConflictError, StoreError
 from driftcleat.store.records import LEADER
 from driftcleat.wire import state as messages
-from driftcleat.workers import WorkerClient
 
 from .allotments import Allotment
 from .assignment import Assignment
@@ -106,16 +105,10 @@
 
     def connect(self, sockets: SocketBudget) -> list[HttpClient]:
         """Make the clients; return what is to be closed in the end."""
-        platform = self.platform
-        store, lease, cloud, peers, workers = clients = [
-            part.client(platform.lease_s)
-            for part in (sockets.store, sockets.lease, sockets.cloud, sockets.peers, sockets.workers)
-        ]
-        self._peer_client = peers
-        self.store = StoreClient(store, lease, platform.state, self.store_limits, self.clock)
-        self.cloud = CloudClient(cloud, platform.cloud, platform.cloud_rps, platform.report_s, self.clock)
-        self.workers = WorkerClient(workers, platform.report_s, sockets.workers.total)
-        return clients
+        clients = connect(self.platform, sockets, self.clock)
+        self.store, self.cloud, self.workers = clients.store, clients.cloud, clients.workers
+        self._peer_client = clients.peers
+        return clients.connections
 
     def make_peers(self, share: int) -> PeerClient:
         """Return the client with which a share's engines talk to one another."""
@@ -126,12 +119,6 @@
         """Return the client for messages about shares."""
         return PeerClient(self._peer_client, self.platform, path)
 
-    @property
-    def store_limits(self) -> StoreLimits:
-        """What the store takes of this process: all of it, since each share keeps to its own part."""
-        platform = self.platform
-        return StoreLimits(platform.state_rps, platform.write_rps, platform.report_s * STORE_TIMEOUT)
-
     def _assemble(self) -> None:
         platform = self.platform
         ttl_s = platform.lease_s * self.tuning.ttl
--- a/driftcleat/sharing/settings.py
+++ b/driftcleat/sharing/settings.py
@@ -1,10 +1,10 @@
 """The settings of sharing: an INI file, checked as a whole before anything is switched on."""
 
-import configparser
 import math
 from dataclasses import dataclass
 
 from driftcleat.settings import SettingsError
+from driftcleat.settings.operator import read_ini
 
 SECTION = "sharing"
 # As many shares as an assignment may name: each costs every controller a watch.
@@ -38,18 +38,11 @@
 
 def load_sharing(path: str) -> SharingSettings:
     """Return the checked settings of a file; `SettingsError` with one line that names file and key otherwise."""
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        with open(path, encoding="utf-8") as file:
-            parser.read_file(file)
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror or error}") from None
-    except (configparser.Error, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: is not INI: {' '.join(str(error).split())}") from None
+    parser = read_ini(path)
     for section in parser.sections():
         if section != SECTION:
             raise SettingsError(f"{path}: {section}: unknown section")
-    if not parser.has_section(SECTION) or parser.defaults():
+    if not parser.has_section(SECTION):
         raise SettingsError(f"{path}: {SECTION}: the one section there has to be is missing")
     values = {key: _checked(path, key, text) for key, text in parser.items(SECTION)}
     shares = int(values.pop("shares", DEFAULT_SHARES))
--- a/tools/load/scenario.py
+++ b/tools/load/scenario.py
@@ -38,6 +38,8 @@
 USER_TIMEOUT_S = 5.0
 POLL_TIMEOUT_S = 2.0
 LOOK_S = 0.02
+# How long a site has until work is handed in: shares are assigned, the machine types known.
+SETTLE_S = 8.0
 # How long a process is paused, of the workers' lease: about twice the leader's own.
 PAUSE = 0.25
 
@@ -123,6 +125,7 @@
 
     def _phases(self, seconds: float) -> dict[str, Callable[[], Awaitable[list[str]]]]:
         return {
+            "settle": lambda: self._wait(SETTLE_S),
             "join": self._join,
             "fill": self._fill,
             "steady": lambda: self._wait(seconds),
