--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -26,6 +26,7 @@
 from driftcleat.workers.dispatch import StopDispatcher
 
 from .samples import job, platform, raw_job
+from .simulation import Simulation
 from .terms import accept, commit_all, fleet
 
 SITE = platform()
@@ -240,3 +241,21 @@
     accept(term, job(2, rig="daemon", hands=40, accelerators=0.0, imageGb=4.0, hull="img-01", rank="critical"))
     commit_all(term)
     assert looks.call_count > 0
+
+
+def test_sizing_is_put_off_while_reports_are_late() -> None:
+    async def story(sim: Simulation) -> None:
+        controller = sim.controllers[str(sim.lead())]
+        term = controller.term
+        assert term is not None
+        sizes = Mock()
+        controller.fleet_manager._size = sizes  # type: ignore[method-assign]
+        await sim.rest(20.0)
+        usual = sizes.call_count
+        term.pacing.overload_pause_s = lambda: 2.0
+        await sim.rest(2.0)
+        sizes.reset_mock()
+        await sim.rest(20.0)
+        assert 0 < sizes.call_count <= usual / 2
+
+    Simulation(5).play(story)
