--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -98,7 +98,7 @@
                     await link.start()
         for controller in self.controllers.values():
             controller.path = Path(self.folder.name) / f"{controller.label}.toml"
-            controller.path.write_text(self._settings(controller), encoding="utf-8")
+            self.write_settings(controller)
             await self.start(controller)
             self.fleet.controllers[controller.label] = controller.bind
         await self.wait_until(self._all_ready, "every controller is ready")
@@ -138,6 +138,10 @@
             await controller.process.wait()
             self.log(f"controller {controller.label} killed")
 
+    def write_settings(self, controller: Controller) -> None:
+        """Write a controller's settings file, as `deployment` says now."""
+        controller.path.write_text(self._settings(controller), encoding="utf-8")
+
     def signal(self, controller: Controller, number: signal.Signals) -> None:
         """Send a signal to a controller's process."""
         os.kill(controller.pid, number)
@@ -241,6 +245,9 @@
         for name, table in self.deployment.items():
             if isinstance(table, dict):
                 lines += [f"[deployment.{name}]", *_values(table)]
+                for inner, values in table.items():
+                    if isinstance(values, dict):
+                        lines += [f"[deployment.{name}.{inner}]", *_values(values)]
         return "\n".join(lines) + "\n"
 
 
@@ -265,7 +272,7 @@
     record = Path(sys.argv[1]) / "record.txt"
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, trouble), 118.0))
+        broken = asyncio.run(asyncio.wait_for(case(record, trouble), 119.0))
     except (NotRunError, TimeoutError, OSError) as error:
         with record.open("a", encoding="utf-8") as file:
             file.write(f"could not run: {error!r}\n")
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -44,6 +44,8 @@
     # By job: its submission, and how long one of its tasks really runs.
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)
     run_s: dict[str, float] = field(default_factory=dict)
+    # Tasks that run for another time than their job's others, by name.
+    task_run_s: dict[str, float] = field(default_factory=dict)
     # Addresses of the controllers by label, as workers reach them.
     controllers: dict[str, str] = field(default_factory=dict)
     # When tasks started to run and when they ended, by job, in seconds of the monotonic clock.
@@ -164,7 +166,7 @@
             else:
                 fetch_s = job["imageGb"] / self.fleet.types[self.build]["fetchGbPerS"]
                 ready_s = 0.0 if job["hull"] in self.images else fetch_s
-                run_s = self.fleet.run_s[job["nameId"]]
+                run_s = self.fleet.task_run_s.get(hand, self.fleet.run_s[job["nameId"]])
                 task = Task(hand, launch, "pulling", now + ready_s, now + ready_s + run_s)
         self.tasks[key] = task
         self.changed = True
@@ -257,8 +259,8 @@
     def __init__(self, fleet: Fleet, capacity: int) -> None:
         """Offer at most `capacity` machines of each type, zone and kind at once."""
         self.fleet, self.capacity = fleet, capacity
-        # The share of `startupS` that a machine takes to boot.
-        self.boot_ratio = 1.0
+        # By machine type: the share of `startupS` that a machine takes to boot, if it is not 1.
+        self.boot_ratios: dict[str, float] = {}
         self.server = Server(self.handle)
         self.workers: dict[str, Worker] = {}
         self._made: dict[str, tuple[str, float, Worker]] = {}
@@ -312,7 +314,7 @@
         return Answer(200, {"bollards": self._charters[charter]})
 
     async def _boot(self, worker: Worker) -> None:
-        await asyncio.sleep(self.fleet.types[worker.build]["startupS"] * self.boot_ratio)
+        await asyncio.sleep(self.fleet.types[worker.build]["startupS"] * self.boot_ratios.get(worker.build, 1.0))
         if worker.name not in self._gone_at:
             await worker.start()
             self.workers[worker.name] = worker
