--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,67 +1,122 @@
-"""Lower limits are announced and the controllers restarted: a running job's record is too large for ever after."""
+"""A job called done by one controller is called running by the leader, which has not seen its commit's answer yet."""
 
 import asyncio
-import copy
+import random
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins.site import NotRunError, Site, main
+from standins.balancer import Balancer
+from standins.proxy import Link
+from standins.site import Controller, Site, main
 from standins.sites import HKI_DOMAINS, array, hki_grown, hki_types
-from standins.waiting import left_waiting, log_discards
-
-# A sweep with a task on each of many machines, and a job that needs a whole machine of another type.
-SWEEP, WATCHED = 398, 412
-HANDS = 60
-# Run times are often wrong by half, sometimes by more: some tasks of the sweep end early, the others run on.
-RUN_S = 300.0
-SHORT_RUN_S = {index: 14.0 + index / 5 for index in range(0, HANDS, 5)}
-# Some machines are up within two seconds; the other type takes nearly its usual time.
-BOOT_RATIOS = {"kide-24": 0.08, "tunturi-96": 0.85}
-# Controllers are restarted one after the other, and are back after this time.
-ROLL_EVERY_S = 10.0
-BACK_AFTER_S = 4.0
-NEXT_LIMITS = {"rps": 200.0, "write_rps": 35.0, "value_kb": 2.0, "txn_ops": 8}
-
-
-async def roll(site: Site) -> None:
-    """Restart all controllers one after the other with the settings as they are now, the leader last."""
-    leader = await site.leader()
-    others = [controller for controller in site.controllers.values() if controller is not leader]
-    for controller in (*others, leader):
-        began_at = time.monotonic()
-        await site.kill(controller)
-        site.write_settings(controller)
-        await asyncio.sleep(BACK_AFTER_S)
-        await site.start(controller)
-        if controller is not leader:
-            await asyncio.sleep(max(0.0, began_at + ROLL_EVERY_S - time.monotonic()))
+
+# Now and then the state service takes a few hundred milliseconds to answer.
+SLOW_SHARE = 0.1
+SLOW_ANSWER_S = 0.3
+# One-task jobs come four a second.
+JOBS_PER_S = 4.0
+RUN_S = 3.0
+WARM_UP_S = 14.0
+REFUSED_S = 20.0
+PAUSE_S = 8.0
+EPISODES = 3
+# Users ask at all nodes right after a job's end, for so long.
+CLOSE_LOOK_S = 1.0
+FINAL = ("done", "cancelled")
+
+
+class Users:
+    """Users who submit jobs and ask about them at all healthy nodes when they end."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._balancer = Balancer(site)
+        # By job: when it was first called done or cancelled, as what, and by whom.
+        self._final: dict[str, tuple[float, str, str]] = {}
+        self._looking: set[str] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.broken = False
+
+    def stop(self) -> None:
+        """Stop to submit and to ask."""
+        self._balancer.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    def spawn(self, work: Any) -> None:
+        """Run something beside the rest."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def submit_all(self) -> None:
+        """Submit one job after the other."""
+        number = 0
+        while True:
+            number += 1
+            self.spawn(self._site.submit(array(number, 1, RUN_S, cores=0.5, accelerators=0.0, memGb=1.0), RUN_S))
+            await asyncio.sleep(1 / JOBS_PER_S)
+
+    async def look_closely(self) -> None:
+        """Begin to ask about each job whose task has completed."""
+        while True:
+            for job in list(self._site.fleet.completed):
+                if job not in self._looking:
+                    self._looking.add(job)
+                    self.spawn(self._look(job))
+            await asyncio.sleep(0.01)
+
+    async def _look(self, job: str) -> None:
+        end = time.monotonic() + CLOSE_LOOK_S
+        while time.monotonic() < end:
+            for controller in self._site.controllers.values():
+                if self._balancer.is_healthy(controller):
+                    await self._poll(controller, job)
+            await asyncio.sleep(0.02)
+
+    async def _poll(self, controller: Controller, job: str) -> None:
+        sent_at = time.monotonic()
+        answer = await self._site.ask(controller, "GET", f"/v1/jobs/{job}", timeout_s=2.0)
+        if answer.status not in (200, 404):
+            return
+        bearing = answer.value.get("bearing", "unknown")
+        before = self._final.get(job)
+        if before is None:
+            if bearing in FINAL:
+                self._final[job] = (time.monotonic(), bearing, controller.label)
+        elif sent_at > before[0] and bearing != before[1]:
+            self.broken = True
+            self._site.log(
+                f"BROKEN went_back: {job}: {before[2]} said {before[1]}, then {controller.label} said {bearing}"
+            )
 
 
 async def case(record: Path, trouble: bool) -> bool:
     """Run the case; return whether the rule was broken."""
-    settings = copy.deepcopy(hki_grown())
-    async with Site(settings, HKI_DOMAINS, hki_types(25.0), 30, record) as site:
-        site.cloud.boot_ratios = BOOT_RATIOS
-        # The first leader has learnt the machine types by then.
-        await asyncio.sleep(0.5)
-        sweep = array(SWEEP, HANDS, RUN_S, cores=10.0, memGb=54.0, builds=["kide-24"])
-        whole = {"cores": 86.0, "accelerators": 8.0, "memGb": 460.0, "builds": ["tunturi-96"]}
-        watched = array(WATCHED, 1, 60.0, cargo="ocr-finetune", crew="platform-pohjola-01", rank="standard", **whole)
-        for index, run_s in SHORT_RUN_S.items():
-            site.fleet.task_run_s[f"{sweep['nameId']}/{index}"] = run_s
-        if not (await site.submit(sweep, RUN_S) and await site.submit(watched, 60.0)):
-            raise NotRunError("a job was not accepted")
-        if trouble:
-            settings["state"]["next"] = NEXT_LIMITS
-            site.log(f"the settings announce lower limits of the state service: {NEXT_LIMITS}")
-        await roll(site)
-        site.log("every controller has been restarted")
-        broken = await left_waiting(site, watched, time.monotonic())
-        log_discards(site)
-        return broken
+    async with Site(hki_grown(), HKI_DOMAINS, hki_types(3.0), 2, record) as site:
+        leader = await site.leader()
+        site.log(f"{leader.label} leads")
+        rng = random.Random(7)
+        site.store.answer_delay_s = lambda body: SLOW_ANSWER_S if rng.random() < SLOW_SHARE else site.store.latency_s
+        users = Users(site)
+        users.spawn(users.submit_all())
+        await asyncio.sleep(WARM_UP_S)
+        users.spawn(users.look_closely())
+        for _ in range(EPISODES):
+            if trouble:
+                await site.set_peer_links(Link.REFUSE)
+            await asyncio.sleep(REFUSED_S)
+            if trouble:
+                await site.set_peer_links(Link.PASS)
+            if users.broken:
+                break
+            await asyncio.sleep(PAUSE_S)
+        users.stop()
+        return users.broken
 
 
 main(case)
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -78,6 +78,8 @@
         self.cloud = Cloud(self.fleet, machines)
         labels = [f"bollard-{number}" for number in range(len(domains))]
         self.controllers = {label: Controller(label, domain) for label, domain in zip(labels, domains, strict=True)}
+        # Variables of the controllers' environment beside those of this process.
+        self.environment: dict[str, str] = {}
         self.folder = tempfile.TemporaryDirectory(prefix="driftcleat-review-")
 
     def log(self, text: str) -> None:
@@ -124,7 +126,7 @@
             *shlex.split(run),
             str(controller.path),
             cwd=ROOT,
-            env={**os.environ, "LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")},
+            env={**os.environ, "LOG_LEVEL": os.environ.get("LOG_LEVEL", "info"), **self.environment},
             stdout=errors,
             stderr=errors,
         )
@@ -151,6 +153,19 @@
         """Return what a controller has logged."""
         return (Path(self.folder.name) / f"{controller.label}.log").read_text(encoding="utf-8", errors="replace")
 
+    async def roll(self, every_s: float, back_after_s: float) -> None:
+        """Restart all controllers one after the other, the leader last, with settings and environment as they are."""
+        leader = await self.leader()
+        others = [controller for controller in self.controllers.values() if controller is not leader]
+        for controller in (*others, leader):
+            began_at = time.monotonic()
+            await self.kill(controller)
+            self.write_settings(controller)
+            await asyncio.sleep(back_after_s)
+            await self.start(controller)
+            if controller is not leader:
+                await asyncio.sleep(max(0.0, began_at + every_s - time.monotonic()))
+
     async def _all_ready(self) -> bool:
         for controller in self.controllers.values():
             try:
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -52,6 +52,17 @@
     started: dict[str, list[float]] = field(default_factory=dict)
     completed: dict[str, list[float]] = field(default_factory=dict)
     rng: random.Random = field(default_factory=lambda: random.Random(1))
+    workers: "list[Worker]" = field(default_factory=list)
+    # Tasks that started on one machine while they were on another.
+    ran_twice: list[str] = field(default_factory=list)
+
+    def check_start(self, worker: "Worker", started: "Task") -> None:
+        """Note a task that starts while it is on another machine: has its image, and has not exited."""
+        for other in self.workers:
+            for task in other.tasks.values():
+                if other is not worker and task.hand == started.hand and task.state in ("running", "saving"):
+                    self.ran_twice.append(task.hand)
+                    self.log(f"BROKEN ran_twice: {task.hand} starts on {worker.name} while it is on {other.name}")
 
 
 class Worker:
@@ -76,6 +87,7 @@
         await self.server.start()
         self.lease_from = self.up_since = time.monotonic()
         self.fleet.log(f"machine {self.name} is up")
+        self.fleet.workers.append(self)
         self._jobs = [asyncio.ensure_future(self._run()), asyncio.ensure_future(self._report_loop())]
 
     def stop(self) -> None:
@@ -202,6 +214,7 @@
         if task.state == "pulling" and now >= task.ready_at:
             self.images.add(self.fleet.jobs[job]["hull"])
             task.state, self.changed = "running", True
+            self.fleet.check_start(self, task)
             self.fleet.started.setdefault(job, []).append(now)
             self.fleet.log(f"task {task.hand} attempt {task.launch} runs on {self.name}")
         elif task.state == "running" and now >= task.ends_at and self.fleet.jobs[job]["rig"] != "daemon":
