--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,7 +30,7 @@
 
 
 class Users:
-    """Users who submit jobs and ask about them at all healthy nodes when they end."""
+    """Users who submit jobs and ask about them at all nodes that users reach when they end."""
 
     def __init__(self, site: Site) -> None:
         self._site = site
@@ -74,7 +74,7 @@
         end = time.monotonic() + CLOSE_LOOK_S
         while time.monotonic() < end:
             for controller in self._site.controllers.values():
-                if self._balancer.is_healthy(controller):
+                if self._balancer.has_users(controller):
                     await self._poll(controller, job)
             await asyncio.sleep(0.02)
 
--- a/review/standins/balancer.py
+++ b/review/standins/balancer.py
@@ -12,6 +12,8 @@
 RECENT_PROBES = 6
 RECENT_FAILURES = 3
 MIN_PAUSE_S = 3.0
+# Open connections of an unhealthy node are reset after this time.
+KEPT_OPEN_S = 5.0
 
 
 class Balancer:
@@ -23,9 +25,15 @@
         self._removed_at: dict[str, float] = {}
         self._tasks = [asyncio.ensure_future(self._watch(controller)) for controller in site.controllers.values()]
 
-    def is_healthy(self, controller: Controller) -> bool:
-        """Return whether new connections go to a controller."""
-        return bool(self._probes[controller.label]) and controller.label not in self._removed_at
+    def has_users(self, controller: Controller) -> bool:
+        """Return whether users reach a controller: it is healthy, or has been unhealthy for less than 5 s.
+
+        New connections go to healthy nodes only, but open ones stay where they are for so long.
+        """
+        removed_at = self._removed_at.get(controller.label)
+        if removed_at is not None:
+            return asyncio.get_running_loop().time() - removed_at < KEPT_OPEN_S
+        return bool(self._probes[controller.label])
 
     def stop(self) -> None:
         """Stop to probe."""
