--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -89,6 +89,14 @@
 
     async def __aenter__(self) -> Self:
         """Start the stand-ins and the controllers; wait until every controller is ready."""
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start_all(self) -> None:
         await self.store.server.start()
         await self.cloud.server.start()
         for controller in self.controllers.values():
@@ -104,10 +112,12 @@
             await self.start(controller)
             self.fleet.controllers[controller.label] = controller.bind
         await self.wait_until(self._all_ready, "every controller is ready")
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         """End every process that was started."""
+        for controller in self.controllers.values():
+            if controller.process is not None and controller.process.returncode is None:
+                os.kill(controller.pid, signal.SIGKILL)
         for controller in self.controllers.values():
             await self.kill(controller)
         self.cloud.stop()
@@ -136,7 +146,10 @@
     async def kill(self, controller: Controller) -> None:
         """Kill a controller's process, also a stopped one."""
         if controller.process is not None and controller.process.returncode is None:
-            os.kill(controller.pid, signal.SIGKILL)
+            try:
+                os.kill(controller.pid, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
             await controller.process.wait()
             self.log(f"controller {controller.label} killed")
 
@@ -229,7 +242,11 @@
         end = time.monotonic() + timeout_s
         controllers = list(self.controllers.values())
         while time.monotonic() < end:
-            answer = await self.ask(self.fleet.rng.choice(controllers), "POST", "/v1/jobs", raw)
+            # The load balancer moves on to another node when one refuses a connection.
+            for controller in self.fleet.rng.sample(controllers, len(controllers)):
+                answer = await self.ask(controller, "POST", "/v1/jobs", raw)
+                if answer.status or "ConnectionRefused" not in answer.value["error"]:
+                    break
             if answer.status in (200, 201):
                 return True
             if answer.status in (400, 422):
@@ -282,8 +299,14 @@
 Case = Callable[[Path, bool], Awaitable[bool]]
 
 
+def _stop(*_: object) -> None:
+    """End the case early; the processes that it started are ended on the way."""
+    sys.exit(NOT_RUN)
+
+
 def main(case: Case) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, _stop)
     record = Path(sys.argv[1]) / "record.txt"
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
