Metric and log line when the leader has changes to commit and commits none

An operator saw only a line about one batch, four times a second, and no metric that tells a standstill from an idle site: `batches` stays the same in both.

Change: `CommitProgress` measures since when batches have been built without a commit. Lost and slow answers of the state service count too.

Test: test_stall_of_commits_is_reported_once_and_in_the_status; it failed before with KeyError 'commit_stalled_s'.

--- a/driftcleat/controller/commit_pipeline.py
+++ b/driftcleat/controller/commit_pipeline.py
@@ -6,6 +6,7 @@
 
 from driftcleat import wire
 from driftcleat.cluster import Batch
+from driftcleat.controller.commit_progress import CommitProgress
 from driftcleat.errors import DriftcleatError
 from driftcleat.leadership import ActiveTerm, Role
 from driftcleat.runtime.metrics import Metrics
@@ -29,6 +30,8 @@
 # write rate limit is used up.
 IDLE_PAUSE_INTERVALS = 1 / 12
 BATCHING_PAUSE_INTERVALS = 1 / 60
+# The time without a commit after which an error is logged, in heartbeat intervals.
+STALL_REPORT_INTERVALS = 5
 # The pause before a failed request to the state service is retried, in TTLs of the leader lease.
 RETRY_PAUSE_TTLS = 0.06
 
@@ -63,11 +66,13 @@
         self.batch_sequence = 0
         # Whether a batch is in flight: it is being built or committed, or its outcome is not known yet.
         self.in_flight = False
+        self.progress = CommitProgress(clock, platform.report_s * STALL_REPORT_INTERVALS)
 
     def start_term(self, marker_mod_revision: int) -> None:
         """Begin a term with the mod revision of the batch marker as it was read; 0 if there is no marker."""
         self._marker_mod_revision = marker_mod_revision
         self.batch_sequence = 0
+        self.progress.reset()
 
     async def run(self) -> None:
         """Build and commit batches one after the other, until cancelled."""
@@ -101,6 +106,7 @@
                 call()
             self._active_term.announce_commit()
             return
+        self.progress.record_batch()
         encoded = await self._encode(scheduler, batch)
         if encoded is None:
             return
@@ -151,6 +157,7 @@
     def _apply(self, scheduler: Scheduler, batch: Batch, revision: int, encoded: EncodedBatch) -> None:
         """Apply a committed batch to the cluster state, and wake all callers that wait for a commit."""
         self._marker_mod_revision = revision
+        self.progress.record_commit()
         started_at = self._clock()
         scheduler.apply_commit(batch, revision, encoded.obsolete_keys)
         self._metrics.record_part("commit", self._clock() - started_at)
@@ -188,6 +195,7 @@
                     marker.fencing_token,
                     error,
                 )
+                self.progress.record_failure(error)
                 may_be_committed = may_be_committed or isinstance(error, OutcomeUnknownError)
             if self._active_term.scheduler is not scheduler:
                 raise LeaderTermEndedError(marker)
@@ -220,6 +228,7 @@
             scheduler.cluster.fencing_token,
             error,
         )
+        self.progress.record_failure(error)
         scheduler.discard_batch(batch)
         await asyncio.sleep(self._platform.report_s * IDLE_PAUSE_INTERVALS)
 
--- a/driftcleat/controller/status.py
+++ b/driftcleat/controller/status.py
@@ -22,7 +22,7 @@
         """Return the current status; a controller without a leader term omits the scheduler's figures."""
         components = self._components
         clients = components.network.clients
-        status = {
+        status: dict[str, Any] = {
             **self._leadership(components.election),
             **components.metrics.durations(),
             "requests_shed": components.users.requests_rejected,
@@ -34,6 +34,7 @@
         scheduler = components.active_term.scheduler
         if scheduler is not None:
             status |= _workload(scheduler) | _counters(scheduler)
+            status["commit_stalled_s"] = round(components.commit_pipeline.progress.stalled_s, 3)
         return status
 
     def _leadership(self, election: Election) -> dict[str, Any]:
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -51,6 +51,7 @@
     "rented",
     "returned",
     "exits",
+    "commit_stalled_s",
 ]
 TIMING = ["count", "p50_ms", "p95_ms", "p99_ms", "p100_ms"]
 
@@ -118,3 +119,23 @@
         assert status["rented"] == scheduler.counters.machines_created > 0
 
     Simulation(5).run_scenario(scenario)
+
+
+def test_stall_of_commits_is_reported_once_and_in_the_status(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a standstill that an operator sees nowhere but in repeated lines about single batches."""
+
+    async def scenario(simulation: Simulation) -> None:
+        leader = str(simulation.leader_label())
+        simulation.lost_responses.add(leader)
+        simulation.submit_until_accepted(raw_job(1, hands=1))
+        with pytest.MonkeyPatch.context() as patch:
+            pipeline = simulation.controllers[leader].commit_pipeline
+            patch.setattr(pipeline, "_read_back", simulation.wait_forever)
+            await simulation.advance(15.0)
+            status = await fetch_status(simulation, leader)
+            assert status["commit_stalled_s"] > 10.0
+            stalls = [record for record in caplog.records if "nothing has been committed for" in record.message]
+            assert len(stalls) == 1
+        simulation.lost_responses.clear()
+
+    Simulation(3).run_scenario(scenario)
