Batches are charged with the size of the records that they write, not with constants

Cause: a batch was budgeted with 2,600 bytes for the head of a job, whatever its specification; heads may take a whole value (8 KiB). 22 submissions with long lists fitted the budget and made a transaction of 76 KB, which is refused before it is sent and was built again without end. The same estimate was too low in other places: a job was charged once however many of its chunk records a batch rewrote, records that a migration or the garbage collection puts were charged as small values, a head with more than 64 placements, a grace period of 18 characters in a row, and the operations of a stop in a record that the batch did not write yet.

Why the fix works: `RecordLayout` derives an upper bound for each record from its specification and the tasks in it, with keys and compares; `Batch` charges each record when it is first written, and each changed task. What fits by the estimate is at most 56 KiB, and the check of operations takes the union of the records. A specification whose head could outgrow its value in data version 1 is refused (400) as others are. The division into records of data version 1 does not change: earlier versions divide by the same numbers.

--- a/driftcleat/cluster/batch.py
+++ b/driftcleat/cluster/batch.py
@@ -1,18 +1,13 @@
 """A batch: copies of the jobs that one transaction changes, and the callbacks for its commit or its discard."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from driftcleat.cluster.batch_budget import BatchBudget
 from driftcleat.cluster.jobs import Job, JobState, TaskPlacement, TaskState, transition_job, transition_task
+from driftcleat.cluster.record_sizes import RecordSizes
 
-# Upper bounds of what a transaction writes, in bytes: the head of a record or another small value, each task range or
-# placement in a record, and a deleted key.
-MAX_HEAD_BYTES = 2600
-MAX_ENTRY_BYTES = 110
-MAX_DELETE_BYTES = 256
-# The estimate of a head's size counts at most this many placements.
-MAX_PLACEMENTS_IN_ESTIMATE = 64
+HEAD_RECORD = 0
 
 
 class TaskTransition(NamedTuple):
@@ -30,20 +25,16 @@
     def __init__(
         self,
         committed: dict[str, Job],
-        chunk_of: Callable[[Job, int], int],
+        sizes: RecordSizes,
         operations: int,
         size_bytes: int,
-        awaits_migration: Callable[[Job], bool] = lambda job: False,
     ) -> None:
-        """Begin an empty batch.
-
-        `chunk_of` returns the chunk record of a task, 0 for the head; `operations` and `size_bytes` are the limits;
-        `awaits_migration` returns whether a job's records must be migrated before they can change.
-        """
+        """Begin an empty batch; `operations` and `size_bytes` are the limits of its transaction."""
         self.committed_jobs = committed
-        self.chunk_of = chunk_of
-        self._awaits_migration = awaits_migration
+        self._sizes = sizes
         self._budget = BatchBudget(operations, size_bytes)
+        # Sizes of records as they are committed, by job id and number of the record.
+        self._committed_record_bytes: dict[tuple[str, int], int] = {}
         self.jobs: dict[str, Job] = {}
         self.created: set[str] = set()
         # By job created in this batch: its dependencies that are not done yet.
@@ -84,7 +75,7 @@
 
     def must_migrate_first(self, job: Job) -> bool:
         """Return whether a job must be migrated before it changes; if so, add it to `awaiting_migration`."""
-        if not self._awaits_migration(job) and job.id not in self.migrated:
+        if not self._sizes.needs_migration(job) and job.id not in self.migrated:
             return False
         self.awaiting_migration.add(job.id)
         return True
@@ -98,36 +89,55 @@
         if self.must_migrate_first(job):
             return False
         indices = [index, *job.placements] if job.is_gang else [index]
-        chunks = {self.chunk_of(job, other) for other in indices}
-        head = job.is_gang or 0 in chunks or job.id in self.changed_heads
-        operations = head + len((chunks - {0}) | self.changed_chunks.get(job.id, set()))
+        records = {self._sizes.chunk_of(job, other) for other in indices}
+        if job.is_gang or job.id in self.changed_heads:
+            records.add(HEAD_RECORD)
+        operations = len(records | self.changed_chunks.get(job.id, set()))
         if len(job.placements) == 1 and (job.state is JobState.CANCELLED or job.tasks_done + 1 == job.spec.tasks):
             operations = max(operations, 2)
-        return self._budget.fits_job(job.id, operations, self._change_bytes(job, 1))
+        return self._budget.fits_job(job.id, operations, self._change_bytes(job, records, 1))
 
-    def has_room(self, job: Job, entries: int = 1, chunks: int = 0, may_end_job: bool = False) -> bool:
-        """Return whether a change of a job's head and of `entries` of its tasks fits.
+    def has_room(self, job: Job, rows: int = 0, chunks: Collection[int] = (), may_end_job: bool = False) -> bool:
+        """Return whether a change of a job's head and of tasks with `rows` different placements fits.
 
-        `chunks` is the number of the job's chunk records that this batch writes after the change. `may_end_job` tells
-        whether the change may end the job, which takes up to two operations.
+        `chunks` are the records that hold the changed tasks. `may_end_job` tells whether the change may end the job,
+        which takes up to two operations.
         """
         if self.must_migrate_first(job):
             return False
-        operations = max(1 + max(chunks, len(self.changed_chunks.get(job.id, ()))), 2 if may_end_job else 0)
-        return self._budget.fits_job(job.id, operations, self._change_bytes(job, entries))
-
-    def has_room_for_keys(self, count: int = 1) -> bool:
-        """Return whether puts of `count` small values that belong to no job fit."""
-        return self._budget.fits(count, count * MAX_HEAD_BYTES)
-
-    def _change_bytes(self, job: Job, entries: int) -> int:
-        """Return an upper bound of the bytes that a change of `entries` tasks of a job may add."""
-        head = (
-            0
-            if job.id in self.changed_jobs
-            else MAX_HEAD_BYTES + MAX_ENTRY_BYTES * min(len(job.placements), MAX_PLACEMENTS_IN_ESTIMATE)
-        )
-        return head + entries * MAX_ENTRY_BYTES
+        records = {HEAD_RECORD, *chunks}
+        operations = max(len(records | self.changed_chunks.get(job.id, set())), 2 if may_end_job else 0)
+        return self._budget.fits_job(job.id, operations, self._change_bytes(job, records, rows))
+
+    def has_room_for_put(self, key: str, value: object) -> bool:
+        """Return whether a put of a key that is not a job's record fits."""
+        return self._budget.fits(1, self._sizes.put_bytes(key, value))
+
+    def has_room_for_delete(self, key: str) -> bool:
+        """Return whether a delete of a key that is not a job's record fits."""
+        return self._budget.fits(1, self._sizes.delete_bytes(key))
+
+    def has_room_for_head(self, head_bytes: int) -> bool:
+        """Return whether a job's head record of this size, in bytes, fits in addition to the puts so far."""
+        return self._budget.fits(1, head_bytes)
+
+    def _change_bytes(self, job: Job, records: Collection[int], rows: int) -> int:
+        """Return an upper bound of the bytes that a change of `rows` placements in these records may add."""
+        unwritten = (number for number in records if not self._writes_record(job.id, number))
+        return sum(self._record_bytes(job, number) for number in unwritten) + rows * self._sizes.row_bytes(job)
+
+    def _writes_record(self, job_id: str, number: int) -> bool:
+        """Return whether this batch writes a record of a job already, so that its size is charged."""
+        if number == HEAD_RECORD:
+            return job_id in self.changed_heads
+        return number in self.changed_chunks.get(job_id, ())
+
+    def _record_bytes(self, job: Job, number: int) -> int:
+        """Return the size of a record that this batch does not write yet: its tasks are as they are committed."""
+        size = self._committed_record_bytes.get((job.id, number))
+        if size is None:
+            size = self._committed_record_bytes[job.id, number] = self._sizes.record_bytes(job, number)
+        return size
 
     def _charge(self, job_id: str) -> None:
         """Charge a job's operations as of now: its changed records, or its final state and their removal."""
@@ -138,17 +148,19 @@
             operations = (job_id in self.changed_heads) + len(self.changed_chunks.get(job_id, ()))
         self._budget.charge_job(job_id, operations)
 
-    def _open_for_change(self, job_id: str, head: bool = True) -> Job:
-        """Return this batch's copy of a job for a change; `head` tells whether the change writes the job's head."""
+    def _open_for_change(self, job_id: str, record: int = HEAD_RECORD) -> Job:
+        """Return this batch's copy of a job for a change of one of its records."""
         job = self.jobs.get(job_id)
         if job is None:
             job = self.committed_jobs[job_id].copy()
             self.jobs[job_id] = job
-        if job_id not in self.changed_jobs:
-            self._budget.charge_bytes(self._change_bytes(job, 0))
-            self.changed_jobs.add(job_id)
-        if head:
+        if not self._writes_record(job_id, record):
+            self._budget.charge_bytes(self._record_bytes(job, record))
+        self.changed_jobs.add(job_id)
+        if record == HEAD_RECORD:
             self.changed_heads.add(job_id)
+        else:
+            self.changed_chunks.setdefault(job_id, set()).add(record)
         self._charge(job_id)
         return job
 
@@ -174,21 +186,20 @@
 
     def transition_task(self, job_id: str, index: int, to: TaskState, placement: TaskPlacement | None = None) -> None:
         """Change a task's state; `placement` is required if the new state is PLACED."""
-        chunk = self.chunk_of(self.jobs.get(job_id) or self.committed_jobs[job_id], index)
-        if chunk > 0:
-            self.changed_chunks.setdefault(job_id, set()).add(chunk)
-        job = self._open_for_change(job_id, head=chunk == 0)
+        record = self._sizes.chunk_of(self.jobs.get(job_id) or self.committed_jobs[job_id], index)
+        job = self._open_for_change(job_id, record)
         before = job.placements.get(index)
         transition_task(job, index, to, placement)
         after = placement if to is TaskState.PLACED else None
         self.task_transitions.append(TaskTransition(job_id, index, before, after))
-        self._budget.charge_bytes(MAX_ENTRY_BYTES)
+        self._budget.charge_bytes(self._sizes.row_bytes(job))
 
     def migrate_job(self, job_id: str, tasks_per_record: int, mod_revisions: dict[int, int]) -> None:
         """Rewrite a job's head for `tasks_per_record`; its chunks are committed already or in this batch."""
-        job = self._open_for_change(job_id)
+        job = self.jobs[job_id] = self.committed_jobs[job_id].copy()
         job.tasks_per_record = tasks_per_record
         job.chunk_mod_revisions = mod_revisions
+        self._open_for_change(job_id)
         self.migrated.add(job_id)
 
     def stop_task(self, job_id: str, index: int, grace_s: float) -> None:
@@ -215,11 +226,11 @@
         self._charge(job_id)
 
     def put(self, key: str, value: object) -> None:
-        """Write a small value under a key that is not a job's record."""
+        """Write a value under a key that is not a record of a changed job."""
         self.puts[key] = value
-        self._budget.charge(1, MAX_HEAD_BYTES)
+        self._budget.charge(1, self._sizes.put_bytes(key, value))
 
     def delete(self, key: str) -> None:
         """Remove a key that is not a job's record."""
         self.deletes.append(key)
-        self._budget.charge(1, MAX_DELETE_BYTES)
+        self._budget.charge(1, self._sizes.delete_bytes(key))
--- a/driftcleat/cluster/jobs.py
+++ b/driftcleat/cluster/jobs.py
@@ -58,10 +58,12 @@
     __slots__ = (
         "cancelled_at",
         "chunk_mod_revisions",
+        "head_bytes",
         "last_attempt",
         "mod_revision",
         "placements",
         "priority_level",
+        "row_bytes",
         "spec",
         "start_deadline",
         "state",
@@ -84,6 +86,9 @@
         self.chunk_mod_revisions: dict[int, int] = {}
         # Tasks per record; 0 in data version 1, where the number follows from the store's limits.
         self.tasks_per_record = 0
+        # The sizes in bytes of the head record without placements and of one placement; 0 until they are computed.
+        self.head_bytes = 0
+        self.row_bytes = 0
         # The level of the job's own priority, or that of a more urgent dependent.
         self.priority_level = spec.priority.level
         # The wall-clock time in seconds by which the job must start for its dependents to meet their deadlines.
@@ -104,6 +109,8 @@
         copy.tasks_per_record = self.tasks_per_record
         copy.priority_level = self.priority_level
         copy.start_deadline = self.start_deadline
+        copy.head_bytes = self.head_bytes
+        copy.row_bytes = self.row_bytes
         copy.chunk_mod_revisions = dict(self.chunk_mod_revisions)
         return copy
 
--- a/driftcleat/scheduler/batch_builder.py
+++ b/driftcleat/scheduler/batch_builder.py
@@ -19,9 +19,8 @@
 from driftcleat.scheduler.placement_pass import PlacementPass
 from driftcleat.scheduler.record_migration import RecordMigration
 from driftcleat.scheduler.scale_out import ScaleOut
+from driftcleat.store.layout import MAX_BATCH_BYTES
 
-# The store accepts requests of at most 64 KiB; the rest is for compares and framing.
-MAX_BATCH_BYTES = 56 * 1024
 # Every transaction also puts the batch marker.
 MARKER_OPERATIONS = 1
 
@@ -82,9 +81,7 @@
         """Return a batch for a transaction of at most `transaction_operations` operations."""
         now = self._clock()
         max_operations = transaction_operations - MARKER_OPERATIONS
-        batch = Batch(
-            self._cluster.jobs, self._layout.chunk_of, max_operations, MAX_BATCH_BYTES, self._layout.needs_migration
-        )
+        batch = Batch(self._cluster.jobs, self._layout, max_operations, MAX_BATCH_BYTES)
         if not self._migration.latch_requested and self._admission.has_dependencies:
             # Submissions with dependencies are accepted only once all controllers are known to be upgraded.
             self._migration.request_latch()
--- a/driftcleat/scheduler/drains.py
+++ b/driftcleat/scheduler/drains.py
@@ -54,8 +54,7 @@
             return True
         grace_s = job.spec.checkpoint_duration_s if job.spec.checkpoint_interval_s > 0 else 0.0
         indices = list(job.placements) if job.is_gang else [index]
-        # Chunk 0 is the head record, which `has_room` always counts.
-        chunks = len({self._layout.chunk_of(job, stopped) for stopped in indices} - {0})
+        chunks = {self._layout.chunk_of(job, stopped) for stopped in indices}
         if not batch.has_room(job, len(indices), chunks):
             return False
         for stopped in indices:
--- a/driftcleat/scheduler/garbage_collection.py
+++ b/driftcleat/scheduler/garbage_collection.py
@@ -44,12 +44,15 @@
 
     def append_to(self, batch: Batch) -> None:
         """Append as many pending deletes and puts as the batch has room for, deletes first."""
-        while self._obsolete_keys and batch.has_room_for_keys():
+        while self._obsolete_keys and batch.has_room_for_delete(self._obsolete_keys[-1]):
             key = self._obsolete_keys.pop()
             batch.delete(key)
             batch.on_discard.append(partial(self._obsolete_keys.append, key))
-        while self._pending_puts and batch.has_room_for_keys():
-            key, value = self._pending_puts.popitem()
+        while self._pending_puts:
+            key, value = next(reversed(self._pending_puts.items()))
+            if not batch.has_room_for_put(key, value):
+                return
+            del self._pending_puts[key]
             batch.put(key, value)
             batch.on_discard.append(partial(self.put_later, key, value))
 
--- a/driftcleat/scheduler/placement_pass.py
+++ b/driftcleat/scheduler/placement_pass.py
@@ -185,8 +185,8 @@
         """Return the first assignments of an array or service whose changed records fit in the batch."""
         chunks: set[int] = set()
         for count, assignment in enumerate(assignments):
-            chunks |= {self._layout.chunk_of(job, assignment.task_index)} - {0}
-            if not batch.has_room(job, count + 1, len(chunks)):
+            chunks.add(self._layout.chunk_of(job, assignment.task_index))
+            if not batch.has_room(job, count + 1, chunks):
                 return assignments[:count]
         return assignments
 
@@ -195,8 +195,8 @@
         tasks_per_record = self._layout.tasks_per_record(job)
         if job.is_gang:
             chunks = -(-job.spec.tasks // tasks_per_record)
-            entries = min(job.tasks_queued, len(self._cluster.machines) + chunks)
-            return job.tasks_queued if batch.has_room(job, entries, chunks - 1) else 0
+            rows = min(job.tasks_queued, len(self._cluster.machines) + chunks)
+            return job.tasks_queued if batch.has_room(job, rows, range(chunks)) else 0
         records = max(1, batch.operations_left - RESERVED_OPERATIONS)
         return max(1, min(tasks_per_record * records, (batch.bytes_left - RESERVED_BYTES) // BYTES_PER_PLACEMENT))
 
--- a/driftcleat/scheduler/record_migration.py
+++ b/driftcleat/scheduler/record_migration.py
@@ -121,13 +121,16 @@
             return
         migration = self._current or self._begin(job)
         chunk_count = -(-job.spec.tasks // migration.tasks_per_record)
-        while migration.next_chunk < chunk_count and batch.has_room_for_keys():
+        while migration.next_chunk < chunk_count:
             chunk = migration.next_chunk
+            key = chunk_key(job.id, chunk, migration.tasks_per_record)
             record = self._layout.chunk_record_in_split(job, migration.tasks_per_record, chunk)
-            batch.put(chunk_key(job.id, chunk, migration.tasks_per_record), record)
+            if not batch.has_room_for_put(key, record):
+                return
+            batch.put(key, record)
             migration.mod_revisions[chunk] = 0
             migration.next_chunk += 1
-        if migration.next_chunk < chunk_count or not batch.has_room_for_keys():
+        if not batch.has_room_for_head(self._layout.max_head_bytes(job, migration.tasks_per_record)):
             return
         batch.migrate_job(job.id, migration.tasks_per_record, migration.mod_revisions)
         old_chunk_keys = [chunk_key(job.id, chunk, job.tasks_per_record) for chunk in job.chunk_mod_revisions]
--- a/driftcleat/scheduler/scale_out.py
+++ b/driftcleat/scheduler/scale_out.py
@@ -76,13 +76,17 @@
 
     def append_to(self, batch: Batch) -> None:
         """Append the deletes of settled requests and the puts of new ones for which the batch has room."""
-        while self._settled and batch.has_room_for_keys():
+        while self._settled and batch.has_room_for_delete(SCALE_OUTS_PREFIX + self._settled[-1]):
             name = self._settled.pop()
             batch.delete(SCALE_OUTS_PREFIX + name)
             batch.on_discard.append(partial(self._settled.append, name))
-        while self.new_requests and batch.has_room_for_keys():
-            request = self.new_requests.pop(0)
-            batch.put(SCALE_OUTS_PREFIX + request.name, request.record)
+        while self.new_requests:
+            request = self.new_requests[0]
+            key = SCALE_OUTS_PREFIX + request.name
+            if not batch.has_room_for_put(key, request.record):
+                return
+            del self.new_requests[0]
+            batch.put(key, request.record)
             batch.on_discard.append(partial(self.new_requests.insert, 0, request))
             batch.on_commit.append(partial(self._record_stored, request))
 
--- a/driftcleat/store/layout.py
+++ b/driftcleat/store/layout.py
@@ -3,15 +3,33 @@
 import msgspec
 
 from driftcleat import wire
-from driftcleat.cluster.batch import MAX_ENTRY_BYTES, MAX_HEAD_BYTES
 from driftcleat.cluster.jobs import Job, TaskPlacement, TaskState
 from driftcleat.store.index_ranges import format_ranges
 from driftcleat.store.records import ChunkRecord, JobRecord, PlacementRow
 from driftcleat.wire.job_ids import encode_job_ids
-from driftcleat.wire.users import JobSpec
-
-# The largest size of one task's `PlacementRow` without its zone: machine, attempt, index and grace period.
+from driftcleat.wire.users import JobKind, JobSpec
+
+# The division into records in data version 1 allows this many bytes for a head and for each task. Earlier versions
+# divide by the same numbers, so these must not change.
+VERSION_1_HEAD_BYTES = 2600
+VERSION_1_TASK_BYTES = 110
+# The largest size of one task's `PlacementRow` without its zone: machine, attempt, index and a grace period of up to
+# `GRACE_PERIOD_BYTES`.
 MAX_ROW_BYTES_WITHOUT_ZONE = 46
+GRACE_PERIOD_BYTES = 8
+# The largest size of a completed task in the ranges of indices: five digits and a separator.
+MAX_DONE_TASK_BYTES = 6
+# What a record takes in a transaction besides its value: the put, the compares of its own key and of the key of the
+# job's final state, with the prefixes that shards add, and the number of times that the job's id occurs in the keys.
+RECORD_FRAMING_BYTES = 256
+JOB_IDS_PER_RECORD = 4
+# The largest size of a transaction's changes as the sizes below count them; the rest of the state service's 64 KiB is
+# left for the batch marker and the leader key.
+MAX_BATCH_BYTES = 56 * 1024
+# The largest size of a chunk record without its tasks.
+CHUNK_FIELDS_BYTES = 16
+# What a put or a delete takes in a transaction besides its key and its value.
+KEY_FRAMING_BYTES = 48
 # The assumed size of the zone in a row if the zones are not known.
 DEFAULT_ZONE_BYTES = 24
 # The largest size of a head record without specification, dependencies and placements, with the longest numbers.
@@ -42,7 +60,9 @@
         self.version_1_value_bytes = version_1_value_bytes if version_1_value_bytes is not None else value_bytes
         self.version_1_txn_ops = version_1_txn_ops if version_1_txn_ops is not None else txn_ops
         self.version_2_active = False
-        self._version_1_tasks_per_record = max(1, (self.version_1_value_bytes - MAX_HEAD_BYTES) // MAX_ENTRY_BYTES)
+        self._version_1_tasks_per_record = max(
+            1, (self.version_1_value_bytes - VERSION_1_HEAD_BYTES) // VERSION_1_TASK_BYTES
+        )
         zone_bytes = max((len(wire.encode(zone)) for zone in zones), default=DEFAULT_ZONE_BYTES)
         self._max_row_bytes = MAX_ROW_BYTES_WITHOUT_ZONE + zone_bytes
 
@@ -56,7 +76,7 @@
 
     def preferred_tasks_per_record(self, job: Job) -> int:
         """Return the number of tasks that a record of this job should hold in data version 2."""
-        tasks = max(1, (self.value_bytes - self.head_bytes(job.spec)) // self._max_row_bytes)
+        tasks = max(1, (self.value_bytes - self.head_bytes(job.spec)) // self.spec_row_bytes(job.spec))
         if job.is_gang:
             # A change of one task may change all tasks of the gang, so all its records must fit into one batch.
             tasks = max(tasks, -(-job.spec.tasks // max(1, self.txn_ops - EXTRA_GANG_OPERATIONS)))
@@ -68,9 +88,66 @@
         encoded_dependencies = encode_job_ids(spec.dependencies or ())
         return len(wire.encode(without_dependencies(spec))) + len(encoded_dependencies) + MAX_HEAD_FIELDS_BYTES
 
+    def spec_row_bytes(self, spec: JobSpec) -> int:
+        """Return the largest size, in bytes, of the row of one task; the grace period is the user's number."""
+        grace_bytes = len(wire.encode(spec.checkpoint_duration_s))
+        return self._max_row_bytes + max(0, grace_bytes - GRACE_PERIOD_BYTES)
+
     def spec_fits(self, spec: JobSpec) -> bool:
-        """Return whether a job's head record with one task fits into a value under the lowest limit."""
-        return self.head_bytes(spec) + self._max_row_bytes <= self.value_bytes
+        """Return whether a job's records fit into values and into a batch, under the limits that will apply to it.
+
+        A job with dependencies is stored in data version 2 only, where the number of tasks in a record follows from
+        the size of its head.
+        """
+        head_bytes = self.head_bytes(spec)
+        row_bytes = self.spec_row_bytes(spec)
+        if not self.version_2_active and not spec.dependencies and spec.kind is not JobKind.GANG:
+            tasks_in_head = min(spec.tasks, self._version_1_tasks_per_record)
+            if head_bytes + tasks_in_head * row_bytes > self.version_1_value_bytes:
+                return False
+        return head_bytes + row_bytes <= min(self.value_bytes, MAX_BATCH_BYTES - self._framing_bytes(spec.id))
+
+    # The interface `RecordSizes` of a batch.
+
+    def record_bytes(self, job: Job, number: int) -> int:
+        """Return an upper bound of the bytes that writing record `number` of a job adds to a transaction."""
+        tasks_per_record = self.tasks_per_record(job)
+        first = number * tasks_per_record
+        end = first + tasks_per_record
+        placed = job.task_states.count(TaskState.PLACED, first, end)
+        done = job.task_states.count(TaskState.DONE, first, end)
+        fields = self._job_head_bytes(job) if number == 0 else CHUNK_FIELDS_BYTES
+        return fields + placed * self.row_bytes(job) + done * MAX_DONE_TASK_BYTES + self._framing_bytes(job.id)
+
+    def max_head_bytes(self, job: Job, tasks_per_record: int) -> int:
+        """Return an upper bound of the bytes for a job's head if a record held `tasks_per_record` tasks."""
+        tasks = min(len(job.placements), tasks_per_record) * self.row_bytes(job)
+        done = min(job.tasks_done, tasks_per_record) * MAX_DONE_TASK_BYTES
+        return self._job_head_bytes(job) + tasks + done + self._framing_bytes(job.id)
+
+    def row_bytes(self, job: Job) -> int:
+        """Return an upper bound of the bytes that a change of one task adds to its record."""
+        if not job.row_bytes:
+            job.row_bytes = self.spec_row_bytes(job.spec)
+        return job.row_bytes
+
+    def put_bytes(self, key: str, value: object) -> int:
+        """Return an upper bound of the bytes for a put of a key that is not a record of a changed job."""
+        return len(key) + len(wire.encode(value)) + KEY_FRAMING_BYTES
+
+    def delete_bytes(self, key: str) -> int:
+        """Return an upper bound of the bytes for a delete of a key."""
+        return len(key) + KEY_FRAMING_BYTES
+
+    def _job_head_bytes(self, job: Job) -> int:
+        """Return `head_bytes` of a job; the encoding is done once, since every change of the job asks for it."""
+        if not job.head_bytes:
+            job.head_bytes = self.head_bytes(job.spec)
+        return job.head_bytes
+
+    @staticmethod
+    def _framing_bytes(job_id: str) -> int:
+        return RECORD_FRAMING_BYTES + JOB_IDS_PER_RECORD * len(job_id)
 
     def assign_tasks_per_record(self, job: Job) -> None:
         """Set a job's tasks per record in data version 2, unless records that are stored already would change."""
--- a/tools/record.py
+++ b/tools/record.py
@@ -68,7 +68,7 @@
     """Return the records of these jobs by key."""
     records_by_key: dict[str, Any] = {}
     for job in jobs:
-        batch = Batch({}, layout.chunk_of, 1000, 1 << 30)
+        batch = Batch({}, layout, 1000, 1 << 30)
         batch.create_job(job)
         batch.changed_chunks[job.id] = {layout.chunk_of(job, index) for index in range(job.spec.tasks)} - {0}
         written = encode_batch(batch, layout, 5, 1, 0)
