Submissions whose users have gone are dropped; a retry takes its predecessor's place

Cause: a request stayed in the queue after its user's wait had ended, and was not connected with the user's retry.

Change: `CommitWaiter` notes when nobody waits any more. The next request for the same job takes the place of an abandoned one, so it keeps its position and takes no room. A submission that was abandoned five heartbeat intervals ago, well above Retry-After, is dropped; a cancellation is not, since it ends work that is of no use. The queue has a module of its own, `pending_requests.py`.

--- a/driftcleat/api/cancellations.py
+++ b/driftcleat/api/cancellations.py
@@ -45,7 +45,7 @@
             if status is None:
                 return Response.error(404, "no such job")
             if status.state not in FINAL_STATES:
-                if scheduler.admission.full:
+                if not scheduler.admission.may_cancel(job_id):
                     return self._responses.too_many_pending()
                 status = await self._commits.commit(
                     scheduler.admission.cancel, partial(PendingRequest, job_id=job_id), request.deadline
--- a/driftcleat/api/commit_wait.py
+++ b/driftcleat/api/commit_wait.py
@@ -23,9 +23,10 @@
 class CommitWaiter:
     """Queues requests for the next batch and waits for its commit."""
 
-    def __init__(self, active_term: ActiveTerm[Scheduler], max_wait_s: float) -> None:
+    def __init__(self, active_term: ActiveTerm[Scheduler], max_wait_s: float, clock: Callable[[], float]) -> None:
         self._active_term = active_term
         self._max_wait_s = max_wait_s
+        self._clock = clock
         self._outstanding: set[asyncio.Future[JobStatus | None]] = set()
 
     async def commit(
@@ -48,7 +49,8 @@
             if not future.done():
                 future.set_exception(RequestRefusedError(Response.error(400, reason)))
 
-        enqueue(make_request(respond=respond, refuse=refuse))
+        request = make_request(respond=respond, refuse=refuse)
+        enqueue(request)
         self._outstanding.add(future)
         self._active_term.wake_committer()
         try:
@@ -57,6 +59,7 @@
             return None
         finally:
             self._outstanding.discard(future)
+            request.abandoned_at = self._clock()
 
     def drop_outstanding(self) -> None:
         """Complete all waiting requests with None: whether they are committed is unknown, so their users retry."""
--- a/driftcleat/api/submissions.py
+++ b/driftcleat/api/submissions.py
@@ -54,7 +54,7 @@
             return Response(200, wire.encode(JobStatus(status.id, status.state)))
         spec = self._validate(scheduler, raw)
         ended = await self._dependencies.ended_dependencies(scheduler, spec)
-        if scheduler.admission.full:
+        if not scheduler.admission.may_submit(job_id):
             return self._responses.too_many_pending()
         status = await self._commits.commit(
             scheduler.admission.submit,
--- a/driftcleat/api/users.py
+++ b/driftcleat/api/users.py
@@ -79,7 +79,7 @@
         records = JobRecords(store, self.max_store_wait_s)
         lookup = LeaderLookup(records, active_term, responses)
         self.dependencies = dependencies = make_dependency_lookup(records, lookup, responses)
-        commits = self._commits = CommitWaiter(active_term, platform.report_s)
+        commits = self._commits = CommitWaiter(active_term, platform.report_s, clock)
         forwarder = LeaderForwarder(platform.label, peers, active_term, responses, max_forwarded)
         self._forwarder = forwarder
         submissions = Submissions(platform, active_term, lookup, dependencies, commits, forwarder, responses)
--- a/driftcleat/scheduler/admission.py
+++ b/driftcleat/scheduler/admission.py
@@ -1,40 +1,21 @@
 """Admission: users' submissions and cancellations, from their arrival until the response after the commit."""
 
 import logging
-from collections import OrderedDict, deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections import OrderedDict
 from functools import partial
 
 from driftcleat.capacity.arrivals import ArrivalRates
 from driftcleat.cluster import Batch, Job, JobState, user_job_status
 from driftcleat.scheduler.context import SchedulerContext
+from driftcleat.scheduler.pending_requests import PendingRequest, PendingRequests
 from driftcleat.wire.users import JobSpec, JobStatus
 
 log = logging.getLogger(__name__)
 
 # Final statuses of ended jobs that a term keeps in memory; older ones are read from the store.
 MAX_CACHED_FINAL_STATES = 5000
-
-
-def _ignore_refusal(reason: str) -> None:
-    """Ignore that a submission was refused."""
-
-
-@dataclass(slots=True)
-class PendingRequest:
-    """A submission (with `spec`) or a cancellation (with `job_id`) that is not committed yet.
-
-    `respond` is called once with the job's committed status, or None for a job that this term does not know.
-    """
-
-    respond: Callable[[JobStatus | None], None]
-    spec: JobSpec | None = None
-    job_id: str = ""
-    # Final states of the dependencies that had ended before the submission, by job id.
-    ended_dependencies: dict[str, str] = field(default_factory=dict)
-    # Called in place of `respond` with the reason if the submission can never be stored.
-    refuse: Callable[[str], None] = _ignore_refusal
+# How long a submission whose user no longer waits is kept for the user's retry, in heartbeat intervals.
+ABANDONED_SUBMISSION_INTERVALS = 5
 
 
 class Admission:
@@ -47,17 +28,26 @@
         self._layout = context.layout
         self._wall_clock = context.wall_clock
         self._arrivals = arrivals
-        self._submissions: deque[PendingRequest] = deque()
-        self._cancellations: deque[PendingRequest] = deque()
+        self._keep_abandoned_s = context.platform.report_s * ABANDONED_SUBMISSION_INTERVALS
+        self._submissions = PendingRequests()
+        self._cancellations = PendingRequests()
         self._final_statuses: OrderedDict[str, JobStatus] = OrderedDict()
 
     def submit(self, request: PendingRequest) -> None:
-        """Queue a submission for the next batch; the caller checks `full` first."""
-        self._submissions.append(request)
+        """Queue a submission for the next batch; the caller checks `may_submit` first."""
+        self._submissions.add(request)
 
     def cancel(self, request: PendingRequest) -> None:
-        """Queue a cancellation for the next batch; the caller checks `full` first."""
-        self._cancellations.append(request)
+        """Queue a cancellation for the next batch; the caller checks `may_cancel` first."""
+        self._cancellations.add(request)
+
+    def may_submit(self, job_id: str) -> bool:
+        """Return whether a submission can be queued: there is room, or it takes the place of an abandoned one."""
+        return not self.full or self._submissions.has_abandoned(job_id)
+
+    def may_cancel(self, job_id: str) -> bool:
+        """Return whether a cancellation can be queued: there is room, or it takes the place of an abandoned one."""
+        return not self.full or self._cancellations.has_abandoned(job_id)
 
     @property
     def has_waiting(self) -> bool:
@@ -86,9 +76,7 @@
 
     def refuse(self, job_id: str, reason: str) -> None:
         """Remove the pending submissions of a job that can never be stored, and refuse them to their callers."""
-        refused = [request for request in self._submissions if request.spec and request.spec.id == job_id]
-        for request in refused:
-            self._submissions.remove(request)
+        for request in self._submissions.remove(job_id):
             request.refuse(reason)
 
     def lookup(self, job_id: str) -> JobStatus | None:
@@ -108,17 +96,18 @@
         """Append pending cancellations; one of a job whose records must be migrated first stays pending."""
         postponed: list[PendingRequest] = []
         while self._cancellations:
-            request = self._cancellations[0]
+            request = self._cancellations.first
             job = batch.job(request.job_id)
             if job is not None and job.state is JobState.ACTIVE:
                 if batch.must_wait(job):
-                    postponed.append(self._cancellations.popleft())
+                    postponed.append(self._cancellations.take_first())
                     continue
                 if not batch.has_room(job, may_end_job=True):
                     break
                 batch.cancel_job(request.job_id, self._wall_clock())
             self._take_first(self._cancellations, batch, request.job_id)
-        self._cancellations.extend(postponed)
+        for request in postponed:
+            self._cancellations.add(request)
 
     def append_dependent_cancellations(self, batch: Batch) -> None:
         """Cancel the dependents of cancelled jobs; none of their tasks has ever started, so only records change."""
@@ -131,9 +120,15 @@
             batch.cancel_job(job_id, self._wall_clock())
 
     def append_submissions(self, batch: Batch, now: float) -> None:
-        """Append pending submissions; one with a known job id creates no job, so that users may retry."""
+        """Append pending submissions; one with a known job id creates no job, so that users may retry.
+
+        A submission whose user was told to retry, and did not, is dropped: nobody would learn that it was accepted.
+        """
+        dropped = self._submissions.drop_abandoned_before(now - self._keep_abandoned_s)
+        if dropped:
+            log.info("%d submissions dropped, whose users no longer wait for them", dropped)
         while self._submissions:
-            request = self._submissions[0]
+            request = self._submissions.first
             spec = request.spec
             assert spec is not None
             is_repeated = batch.job(spec.id) is not None or spec.id in self._final_statuses
@@ -141,10 +136,10 @@
                 return
             self._take_first(self._submissions, batch, spec.id)
 
-    def _take_first(self, requests: deque[PendingRequest], batch: Batch, job_id: str) -> None:
+    def _take_first(self, requests: PendingRequests, batch: Batch, job_id: str) -> None:
         """Remove the first request from its queue; respond to it on commit, put it back on discard."""
-        request = requests.popleft()
-        batch.on_discard.append(partial(requests.appendleft, request))
+        request = requests.take_first()
+        batch.on_discard.append(partial(requests.put_back, request))
         batch.on_commit.append(partial(self._respond, request, job_id))
 
     def _create_job(self, batch: Batch, spec: JobSpec, request: PendingRequest, now: float) -> bool:
