The leader says nothing older of a job than the outcome of its batch in flight

Cause: the records are ahead of the leader's memory from the moment of a commit until its response arrives. A follower that cannot reach the leader answers from the records, the leader from memory. That a controller may decide says that no other leads, not that no other knows more.

The same happened to other answers: `pending` by the leader after `cancelled` by a follower, for the job and for jobs that depend on it indirectly; 404 for a cancellation and 422 for a dependent submission of a job that a follower called accepted; `running` as the answer to a repeated submission; and for 0.7 s at a leader that was cut off.

Why the fix works: only the leader writes, one batch at a time, so the batch in flight is all that the records may know and memory does not. `InFlightChanges.undecided_jobs` holds the jobs that it creates, cancels or ends, and the dependents of those that it cancels. All other jobs are answered from memory as before: the check is one look-up in a set, and a new submission never waits.

--- a/driftcleat/api/job_status.py
+++ b/driftcleat/api/job_status.py
@@ -36,6 +36,9 @@
     async def poll(self, request: UserRequest) -> Response:
         """Return the response to a poll: the job's state with its numbers of done and running tasks."""
         scheduler = self._active_term.scheduler
+        if scheduler is not None and self._records.cached_final_status(request.job_id) is None:
+            await self._leader_lookup.wait_until_decided(scheduler, request.job_id)
+            scheduler = self._active_term.scheduler
         status = self._status_in_memory(request.job_id, scheduler)
         if status is not None:
             return self._respond(status)
--- a/driftcleat/cluster/dependencies.py
+++ b/driftcleat/cluster/dependencies.py
@@ -95,6 +95,17 @@
         self.pending_cancellations.pop(job_id, None)
         self._cascade(sorted(self.dependents.get(job_id, ())))
 
+    def all_dependents(self, job_id: str) -> set[str]:
+        """Return the direct and indirect dependents of a job."""
+        found: set[str] = set()
+        unvisited = [job_id]
+        while unvisited:
+            for dependent in self.dependents.get(unvisited.pop(), ()):
+                if dependent not in found:
+                    found.add(dependent)
+                    unvisited.append(dependent)
+        return found
+
     def _cascade(self, stack: list[str]) -> None:
         """Mark these jobs, and all their dependents, for cancellation."""
         while stack:
--- a/driftcleat/scheduler/scheduler.py
+++ b/driftcleat/scheduler/scheduler.py
@@ -141,6 +141,14 @@
         """
         return self._batch_builder.build(available_operations)
 
+    def is_undecided(self, job_id: str) -> bool:
+        """Return whether the batch in flight may change what users are told of a job.
+
+        The records may show the change already, so that other controllers have told users of it. Nothing older than
+        the outcome may be said of such a job.
+        """
+        return job_id in self._batch_builder.in_flight.undecided_jobs
+
     def discard_batch(self, batch: Batch) -> None:
         """Make the changes of a batch pending again.
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -215,6 +215,10 @@
         # Controllers whose transactions are applied at once while the responses are lost.
         self.lost_responses: set[str] = set()
         self.store_delay_s = 0.0
+        # Seconds from the moment at which a transaction is applied until its response arrives.
+        self.commit_response_delay_s = 0.0
+        # Whether connections between controllers are refused.
+        self.refuses_peers = False
         self.worker_controllers: dict[str, str] = {}
         self.submitted_ids: set[str] = set()
         self.max_machines = 14
@@ -351,6 +355,8 @@
         for labels in self.partitioned_from.values():
             labels.clear()
         self.late_write_rate = self.delayed_command_rate = self.store_delay_s = self.duplicate_rate = 0.0
+        self.commit_response_delay_s = 0.0
+        self.refuses_peers = False
         self.cloud_up = True
         self.store_double.heal()
         for worker in self.workers.values():
@@ -390,6 +396,8 @@
             self.spawn(self._carry_out_late(body))
             await self.wait_forever()
         status, value = await self.store_double.respond(label, method, path, query, body)
+        if path == "/txn" and self.commit_response_delay_s:
+            await asyncio.sleep(self.commit_response_delay_s * self.rng.uniform(0.5, 1.5))
         if label in self.partitioned_from["store"] or (
             path == "/txn" and label in self.lost_responses and status != 503
         ):
@@ -409,7 +417,7 @@
         await asyncio.sleep(0.002)
         if frozenset((sender, label)) in self.partitioned_links:
             await self.wait_forever()
-        if not self.is_up(label):
+        if self.refuses_peers or not self.is_up(label):
             raise HttpError("refused")
         if sender in self.old_version_controllers:
             body = downgrade_peer_message(body)
--- a/tests/test_pending_requests.py
+++ b/tests/test_pending_requests.py
@@ -51,7 +51,7 @@
     async def scenario(simulation: Simulation) -> None:
         leader = str(simulation.leader_label())
         pipeline = simulation.controllers[leader].commit_pipeline
-        run_next, pipeline._commit_next = pipeline._commit_next, lambda scheduler: simulation.advance(0.1)  # type: ignore[method-assign,assignment]
+        run_next, pipeline._commit_next = pipeline._commit_next, lambda scheduler: simulation.advance(0.1)  # type: ignore[method-assign]
         service = raw_job(7, rig="daemon", hands=1, voyageS=0.0)
         status, _ = await simulation.request("POST", "/v1/jobs", service, leader)
         assert status == 503
