Sharing: a follower does not judge jobs with an indirect dependency on another shard

What callers would see: the leader of a shard says `cancelled` of a job whose indirect dependency was cancelled on another shard, and a follower then says `pending` from the records.

Cause: only the direct dependencies of the polled job were checked for their home shard. Those of the jobs in between were looked up in the shard's own records, where they do not exist, and so counted as not cancelled.

Change: `require_readable` is asked of every dependency that the walk reaches, direct or not; the poll is then answered with 503, as for a direct one, unless the leader responds.

Test: test_only_the_leader_evaluates_indirect_dependencies_in_another_shard; before: "DID NOT RAISE StoreUnavailableError".

--- a/driftcleat/api/dependencies.py
+++ b/driftcleat/api/dependencies.py
@@ -42,7 +42,8 @@
     async def has_cancelled_dependency(self, spec: JobSpec) -> bool:
         """Return whether a direct or indirect dependency is cancelled: if so, the job counts as cancelled too.
 
-        `StoreUnavailableError` if there are more than `MAX_DEPENDENCY_READS` dependencies.
+        `StoreUnavailableError` if there are more than `MAX_DEPENDENCY_READS` dependencies, or if the records of one
+        do not tell what the leader says of its dependents.
         """
         seen: set[str] = set()
         unread = list(spec.dependencies or ())
@@ -53,6 +54,7 @@
             seen.add(dependency)
             if len(seen) > MAX_DEPENDENCY_READS:
                 raise StoreUnavailableError("too many records to read")
+            await self.require_readable(dependency)
             job = await self._records.read_head(dependency)
             if job is not None:
                 if job.state is JobState.CANCELLED:
@@ -64,6 +66,9 @@
                 return True
         return False
 
+    async def require_readable(self, dependency: str) -> None:
+        """Raise `StoreUnavailableError` if a dependency's records may be ahead of what the leader knows of it."""
+
 
 def unknown_dependency_error(dependency: str) -> RequestRefusedError:
     """Return the error that refuses a submission with a dependency that does not exist."""
--- a/driftcleat/sharing/dependencies.py
+++ b/driftcleat/sharing/dependencies.py
@@ -72,14 +72,12 @@
         own_spec = msgspec.structs.replace(spec, dependencies=own or None)
         return await super().ended_dependencies(scheduler, own_spec) | ended
 
-    async def has_cancelled_dependency(self, spec: JobSpec) -> bool:
-        """Return whether a dependency is cancelled; `StoreUnavailableError` if one is homed on another shard.
+    async def require_readable(self, dependency: str) -> None:
+        """Raise `StoreUnavailableError` if a direct or indirect dependency is homed on another shard.
 
-        Guards against a response from the records that is ahead of the leader's responses: the leader learns later of
-        the state of a job on another shard.
+        Guards against a response from the records that differs from the leader's responses: the leader learns later
+        of the state of a job on another shard, and this shard has no records of it.
         """
-        for dependency in spec.dependencies or ():
-            home_shard = await self._host.job_directory.home_shard(dependency, self._records.max_wait_s)
-            if home_shard is not None and home_shard != self._shard:
-                raise StoreUnavailableError("a dependency is homed on another shard")
-        return await super().has_cancelled_dependency(spec)
+        home_shard = await self._host.job_directory.home_shard(dependency, self._records.max_wait_s)
+        if home_shard is not None and home_shard != self._shard:
+            raise StoreUnavailableError("a dependency is homed on another shard")
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -398,6 +398,20 @@
     run_scenario(scenario)
 
 
+def test_only_the_leader_evaluates_indirect_dependencies_in_another_shard() -> None:
+    """Guards against `pending` from the records for a job whose leader says `cancelled`, with a job in between."""
+
+    async def scenario(simulation: ShardedSimulation) -> None:
+        first = await submit_to_shard(simulation, 1, 1, hands=1, voyageS=30.0)
+        second = await submit_to_shard(simulation, 2, 2, hands=1, tows=[first])
+        third = await submit_to_shard(simulation, 2, 3, hands=1, tows=[second])
+        follower = simulation.controllers[other_labels(simulation.shard_leader(2))[0]].engines[2]
+        with pytest.raises(StoreUnavailableError):
+            await follower.users.dependencies.has_cancelled_dependency(simulation.specs[third])
+
+    run_scenario(scenario)
+
+
 def test_dependency_in_another_shard_must_have_been_accepted() -> None:
     async def scenario(simulation: ShardedSimulation) -> None:
         host = simulation.controllers[str(simulation.leader_label())]
