Clean-up: one bounded cache in place of three copies of it

The leader's and the users' caches of final states and the job directory's cache of home shards each kept an ordered dictionary and dropped the oldest entries in a loop of their own. `BoundedCache` does it once. What the program does is unchanged.

--- a/driftcleat/api/job_records.py
+++ b/driftcleat/api/job_records.py
@@ -1,9 +1,8 @@
 """Reads of single jobs from the store, with a cache of final states."""
 
-from collections import OrderedDict
-
 from driftcleat import wire
 from driftcleat.cluster import Job
+from driftcleat.cluster.bounded_cache import BoundedCache
 from driftcleat.store.client import StoreClient
 from driftcleat.store.decoding import decode_head
 from driftcleat.store.keys import ENDED_JOBS_PREFIX, JOBS_PREFIX
@@ -22,7 +21,7 @@
         """Set up reads that fail if they would wait longer than `max_wait_s` for the store's rate limit."""
         self._store = store
         self.max_wait_s = max_wait_s
-        self._final_statuses: OrderedDict[str, JobStatus] = OrderedDict()
+        self._final_statuses: BoundedCache[JobStatus] = BoundedCache(MAX_CACHED_FINAL_STATES)
 
     def cached_final_status(self, job_id: str) -> JobStatus | None:
         """Return the final status of a job if it is cached."""
@@ -30,11 +29,8 @@
 
     def cache_if_final(self, status: JobStatus) -> None:
         """Cache a status if its state is final; beyond the maximum size the oldest entries are dropped."""
-        if status.state not in FINAL_STATES:
-            return
-        self._final_statuses[status.id] = status
-        while len(self._final_statuses) > MAX_CACHED_FINAL_STATES:
-            self._final_statuses.popitem(last=False)
+        if status.state in FINAL_STATES:
+            self._final_statuses.put(status.id, status)
 
     async def read_head(self, job_id: str) -> Job | None:
         """Return the job of a head record; None if the store has no head record of this job."""
--- a/driftcleat/scheduler/admission.py
+++ b/driftcleat/scheduler/admission.py
@@ -1,11 +1,11 @@
 """Admission: users' submissions and cancellations, from their arrival until the response after the commit."""
 
 import logging
-from collections import OrderedDict
 from functools import partial
 
 from driftcleat.capacity.arrivals import ArrivalRates
 from driftcleat.cluster import Batch, Job, JobState, user_job_status
+from driftcleat.cluster.bounded_cache import BoundedCache
 from driftcleat.scheduler.context import SchedulerContext
 from driftcleat.scheduler.pending_requests import PendingRequest, PendingRequests
 from driftcleat.wire.users import JobSpec, JobStatus
@@ -31,7 +31,7 @@
         self._keep_abandoned_s = context.platform.report_s * ABANDONED_SUBMISSION_INTERVALS
         self._submissions = PendingRequests()
         self._cancellations = PendingRequests()
-        self._final_statuses: OrderedDict[str, JobStatus] = OrderedDict()
+        self._final_statuses: BoundedCache[JobStatus] = BoundedCache(MAX_CACHED_FINAL_STATES)
 
     def submit(self, request: PendingRequest) -> None:
         """Queue a submission for the next batch; the caller checks `may_submit` first."""
@@ -88,9 +88,7 @@
 
     def record_ended(self, job: Job) -> None:
         """Cache the final status of a job that is about to be removed from the cluster state."""
-        self._final_statuses[job.id] = user_job_status(self._cluster, job)
-        while len(self._final_statuses) > MAX_CACHED_FINAL_STATES:
-            self._final_statuses.popitem(last=False)
+        self._final_statuses.put(job.id, user_job_status(self._cluster, job))
 
     def append_cancellations(self, batch: Batch) -> None:
         """Append pending cancellations; one of a job whose records must be migrated first stays pending."""
--- a/driftcleat/sharing/job_directory.py
+++ b/driftcleat/sharing/job_directory.py
@@ -1,9 +1,9 @@
 """The job directory: one key per job names its home shard. The key is created once and never changes."""
 
-from collections import OrderedDict
 from typing import Any
 
 from driftcleat import wire
+from driftcleat.cluster.bounded_cache import BoundedCache
 from driftcleat.sharing.keys import FIRST_SHARD, JOB_DIRECTORY_PREFIX
 from driftcleat.store.client import StoreClient
 from driftcleat.store.errors import CompareFailedError, OutcomeUnknownError
@@ -23,7 +23,7 @@
 
     def __init__(self, store: StoreClient) -> None:
         self._store = store
-        self._homes: OrderedDict[str, int] = OrderedDict()
+        self._homes: BoundedCache[int] = BoundedCache(MAX_CACHED_HOMES)
 
     def cached_home(self, job_id: str) -> int | None:
         """Return the home shard of a job if this process has looked it up or registered it before."""
@@ -36,10 +36,10 @@
             return cached_home
         key_value = await self._store.get(JOB_DIRECTORY_PREFIX + job_id, max_wait_s)
         if key_value is not None:
-            return self._cache(job_id, wire.decode(bytes(key_value.value), int))
+            return self._homes.put(job_id, wire.decode(bytes(key_value.value), int))
         for prefix in (JOBS_PREFIX, ENDED_JOBS_PREFIX):
             if await self._store.get(prefix + job_id, max_wait_s) is not None:
-                return self._cache(job_id, FIRST_SHARD)
+                return self._homes.put(job_id, FIRST_SHARD)
         return None
 
     async def register(self, job_id: str, shard: int) -> int:
@@ -55,10 +55,4 @@
             if home_shard is None:
                 raise
             return home_shard
-        return self._cache(job_id, shard)
-
-    def _cache(self, job_id: str, shard: int) -> int:
-        self._homes[job_id] = shard
-        while len(self._homes) > MAX_CACHED_HOMES:
-            self._homes.popitem(last=False)
-        return shard
+        return self._homes.put(job_id, shard)
