The stall of commits ends when nothing is left to commit

A leader whose only pending change was refused, and that then had nothing to commit, would have shown a growing `commit_stalled_s` and logged a stall with its next failure. The measure starts over when no work is pending or the batch is empty.

Test: the user of a submission that can never be stored gets 400 through the whole controller, and the status shows no stall afterwards. It passes without this change too, since another commit follows in the simulated site; no test was found that shows the difference.

--- a/driftcleat/controller/commit_pipeline.py
+++ b/driftcleat/controller/commit_pipeline.py
@@ -85,12 +85,16 @@
                 pass
             self._active_term.work_available.clear()
             scheduler = self._active_term.deciding_scheduler
-            if scheduler is not None and scheduler.has_work:
-                self.in_flight = True
-                try:
-                    await self._commit_next(scheduler)
-                finally:
-                    self.in_flight = False
+            if scheduler is None:
+                continue
+            if not scheduler.has_work:
+                self.progress.reset()
+                continue
+            self.in_flight = True
+            try:
+                await self._commit_next(scheduler)
+            finally:
+                self.in_flight = False
 
     async def _commit_next(self, scheduler: Scheduler) -> None:
         """Build the next batch, commit it and apply it; wait instead while the write rate limit is used up."""
@@ -102,6 +106,7 @@
         started_at = self._clock()
         batch = self._build(scheduler, started_at)
         if batch.is_empty:
+            self.progress.reset()
             for call in batch.on_commit:
                 call()
             self._active_term.announce_commit()
--- a/driftcleat/controller/commit_progress.py
+++ b/driftcleat/controller/commit_progress.py
@@ -23,7 +23,7 @@
         return 0.0 if self._waiting_since is None else self._clock() - self._waiting_since
 
     def reset(self) -> None:
-        """Start over with a new term."""
+        """Start over: there is nothing to commit, or a new term has begun."""
         self._waiting_since = None
         self._is_reported = False
 
--- a/tests/test_oversized_batches.py
+++ b/tests/test_oversized_batches.py
@@ -212,6 +212,25 @@
     assert scheduler.splitter.postponed_count == 1
 
 
+def test_user_of_a_submission_that_can_never_be_stored_gets_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a refusal that reaches nobody, and against a stall that is shown although nothing is pending."""
+    monkeypatch.setattr(RecordLayout, "spec_fits", lambda layout, spec: True)
+
+    async def scenario(simulation: Simulation) -> None:
+        # By then nothing else is to be committed.
+        await simulation.advance(20.0)
+        too_large = raw_job(1, hands=1, builds=long_type_list(9500, "big"))
+        status, answer = await simulation.request("POST", "/v1/jobs", too_large)
+        assert (status, answer["error"]) == (400, "the job is larger than can be stored")
+        await simulation.advance(1.0)
+        shown = await fetch_status(simulation, str(simulation.leader_label()))
+        assert shown["commit_stalled_s"] == 0.0 and shown["batches_rejected"] == 1
+        await simulation.run_until(simulation.submit_until_accepted(raw_job(2, hands=1)).done, 10.0)
+        assert await simulation.poll("req-000002") == 200
+
+    Simulation(4).run_scenario(scenario)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_burst_while_the_state_service_is_slow_holds_up_nothing(seed: int) -> None:
     """Guards against a leader that commits nothing after slow answers have let large submissions pile up."""
