--- a/tests/test_oversized_batches.py
+++ b/tests/test_oversized_batches.py
@@ -168,7 +168,7 @@
     assert all(answer is not None for answer in answers)
 
 
-def test_submission_that_can_never_be_stored_is_refused_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_submission_that_can_never_be_stored_is_refused_alone() -> None:
     """Guards against one submission that holds up all others behind it."""
     scheduler, _ = scheduler_with_machines(0)
     answers: list[Any] = []
@@ -182,7 +182,7 @@
     assert "req-000003" not in scheduler.cluster.jobs
 
 
-def test_job_whose_record_cannot_be_written_holds_up_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_job_whose_record_cannot_be_written_holds_up_no_other() -> None:
     """Guards against a standstill when a stored job outgrows its record: its changes are postponed, alone."""
     scheduler, now = scheduler_with_machines(40)
     answers: list[Any] = []
