--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A gang of 1,000 small tasks: all of them complete, but the job is never called done."""
+"""After the state service has lowered its limits, a gang of 100 tasks is accepted and never starts."""
 
 import asyncio
 import sys
@@ -8,49 +8,58 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins2.deployments import helsinki  # noqa: E402
-from standins2.site import Site, main  # noqa: E402
+from standins2.deployments import kandla  # noqa: E402
+from standins2.site import TROUBLE, Site, main  # noqa: E402
 
-FEW, MANY = 100, 1000
-# The time until all tasks must have completed, and the time after that in which the user must be told.
-RUN_WITHIN_S = 60.0
-TOLD_WITHIN_S = 45.0
+LOWERED = {"rps": 250.0, "write_rps": 70.0, "value_kb": 2.0, "txn_ops": 4}
+HANDS = 100
+PATIENCE_S = 95.0
 
 
 async def case(site: Site, trouble: bool) -> tuple[bool, str]:
-    """Run one gang, and ask for it until well after its last task has completed."""
-    hands = MANY if trouble else FEW
+    """Lower the limits, then run one gang with a machine for each of its tasks."""
+    site.cloud.most_machines = 120
+    if trouble:
+        site.state.lower(LOWERED)
+        site.record("disruption", text="the state service has lowered its limits", limits=LOWERED)
+    await asyncio.sleep(5.0)
     job = site.job(
         412,
         10.0,
+        crew="dock-ops",
         rig="group",
-        cargo="identity-align",
-        hands=hands,
-        cores=0.5,
-        memGb=0.5,
+        cargo="tide-train",
+        rank="high",
+        hands=HANDS,
+        cores=10.0,
+        accelerators=2.0,
+        memGb=77.0,
+        imageGb=1.0,
         together=True,
-        mooringS=20.0,
+        mooringS=45.0,
+        stowS=4.0,
     )
     if not await job.submit():
-        raise RuntimeError("the job was not accepted")
-    following = asyncio.get_running_loop().create_task(job.follow(3.0))
-    end = time.monotonic() + RUN_WITHIN_S
-    while len(job.upload.done_tasks) < hands:
-        if time.monotonic() > end:
-            return False, f"{len(job.upload.done_tasks)} of {hands} tasks are done after {RUN_WITHIN_S:.0f} s"
+        return True, f"the gang is refused with {job.refused}"
+    following = asyncio.get_running_loop().create_task(job.follow())
+    began_at = time.monotonic()
+    end = began_at + PATIENCE_S
+    most_up = 0
+    while time.monotonic() < end and not following.done():
+        most_up = max(most_up, sum(worker.up and not worker.gone for worker in site.cloud.workers.values()))
         await asyncio.sleep(0.1)
-    done_at = time.monotonic()
-    site.record("all_tasks_done", tasks=hands)
-    while time.monotonic() < done_at + TOLD_WITHIN_S and not following.done():
-        await asyncio.sleep(0.1)
-    if following.done():
-        return not site.cloud.broken, f"all {hands} tasks are done, and the job is called {job.final}"
-    return False, f"all {hands} tasks are done; {TOLD_WITHIN_S:.0f} s later the job is called {job.polls[-1][2]}"
+    text = (
+        f"the gang of {HANDS}, accepted, is {job.final or 'not over'} after {time.monotonic() - began_at:.0f} s; "
+        f"{most_up} machines were up for it at once, {site.cloud.starts} tasks were started"
+    )
+    return job.final == "done" and not site.cloud.broken, text
 
 
 def site() -> Site:
-    """Return the deployment."""
-    settings, kinds = helsinki()
+    """Return the deployment; its settings announce the lower limits."""
+    settings, kinds = kandla()
+    if TROUBLE:
+        settings["state"]["next"] = LOWERED
     return Site(settings, kinds, HERE / "record.txt")
 
 
