--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 
 RUN_S = 40.0
 NOTICE_S = 12.0
-PATIENCE_S = 112.0
+PATIENCE_S = 105.0
 
 
 async def case(site: Site, trouble: bool) -> tuple[bool, str]:
--- a/review/standins2/machines.py
+++ b/review/standins2/machines.py
@@ -301,15 +301,17 @@
                     self._step(task, now)
 
     def _step_fetches(self, now: float) -> None:
-        """Complete fetches; give up those that no task waits for any more."""
+        """Complete fetches, and give up those that no task waits for any more."""
+        for image in [image for image, ready_at in self.fetches.items() if now >= ready_at]:
+            del self.fetches[image]
+            self.images.add(image)
+        self._give_up_fetches()
+
+    def _give_up_fetches(self) -> None:
         wanted = {task.spec["hull"] for task in self.tasks.values() if task.phase == "pulling"}
-        for image, ready_at in list(self.fetches.items()):
-            if now >= ready_at:
-                del self.fetches[image]
-                self.images.add(image)
-            elif image not in wanted:
-                del self.fetches[image]
-                self.cloud.record("fetch_given_up", worker=self.name, image=image, missing_s=ready_at - now)
+        for image in self.fetches.keys() - wanted:
+            missing_s = self.fetches.pop(image) - time.monotonic()
+            self.cloud.record("fetch_given_up", worker=self.name, image=image, missing_s=missing_s)
 
     def _expire(self, now: float) -> None:
         if self.tasks:
@@ -392,6 +394,7 @@
             return
         self._leave(task, why)
         task.phase, task.why = "exited", why
+        self._give_up_fetches()
         if why == "done":
             task.upload.done_tasks.add(task.index)
         self.cloud.record("exit", worker=self.name, task=task.name, attempt=task.attempt, why=why)
@@ -435,7 +438,8 @@
         self.holders: dict[tuple[str, int], list[Task]] = {}
         self.broken: list[str] = []
         self.longest_answer = self.starts = 0
-        self.boot_s: tuple[float, float] = (1.5, 3.0)
+        # "At times machines are up within a second or two."
+        self.boot_s: tuple[float, float] = (1.0, 2.0)
         self.most_machines = 30
         # For machines rented from now on, as a factor of the nominal rate.
         self.fetch_factor = 1.0
