Failures of a job are counted by machine and never rule machines out

Cause: QueuedDemand left out every job with three failures. These were counted by task, so that one machine with three tasks was enough, and were cleared only by a task that is done, which needs a machine; of a service none ever is.

Change: JobFailures counts machines. One faulty machine is one failure; from three machines in a row on, machines for one task or one gang at a time are created, after a delay of up to two minutes. A machine that failed a job is left out for 60 s instead of for ever, which strands a job whose only machine has become sound.

Why it works: no count leaves a job without machines, and the delays bound what a faulty job costs.

--- a/driftcleat/capacity/candidate_pool.py
+++ b/driftcleat/capacity/candidate_pool.py
@@ -54,7 +54,7 @@
             round(candidate.cpus, FREE_RESOURCE_DECIMALS),
             round(candidate.gpus, FREE_RESOURCE_DECIMALS),
             round(candidate.memory_gb, FREE_RESOURCE_DECIMALS),
-            candidate.name if candidate.failed_jobs else "",
+            candidate.name if candidate.excluded_jobs else "",
         )
         group = self.groups.get(key)
         if group is None:
--- a/driftcleat/capacity/demand.py
+++ b/driftcleat/capacity/demand.py
@@ -52,7 +52,7 @@
         spec = self.spec
         return (
             candidate.satisfies_constraints(spec)
-            and spec.id not in candidate.failed_jobs
+            and spec.id not in candidate.excluded_jobs
             and (self.required_zone is None or candidate.zone == self.required_zone)
         )
 
--- a/driftcleat/cluster/commit.py
+++ b/driftcleat/cluster/commit.py
@@ -45,8 +45,7 @@
     elif job.state in (JobState.DONE, JobState.TERMINATED):
         cluster.cancelled_jobs.discard(job.id)
         del cluster.jobs[job.id]
-        cluster.retry_at.pop(job.id, None)
-        cluster.failure_counts.pop(job.id, None)
+        cluster.failures.forget(job.id)
 
 
 def _apply_task_transitions(cluster: ClusterState, batch: Batch, now: float) -> None:
--- a/driftcleat/cluster/machines.py
+++ b/driftcleat/cluster/machines.py
@@ -1,7 +1,7 @@
 """Machines as the leader sees them, and the one function that changes their state."""
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import StrEnum
 
 from driftcleat.cluster.jobs import IllegalTransitionError, TaskPlacement
@@ -105,7 +105,8 @@
         self.starts_sent: dict[AttemptKey, HeartbeatOrder] = {}
         self.observed_attempts: set[AttemptKey] = set()
         self.task_phases: dict[TaskKey, str] = {}
-        self.failed_jobs: set[str] = set()
+        # By job that failed here since a task was done here: until when it is not placed here again.
+        self.failed_jobs: dict[str, float] = {}
         self.no_placement_until = 0.0
         # The last heartbeat that got a response; how many heartbeats in a row do not show the effect of earlier
         # responses (one after an expired lease counts twice), and when the first of them arrived.
@@ -148,6 +149,12 @@
             self.used_cpus = self.used_gpus = self.used_memory_gb = 0.0
             self.idle_since = now
 
+    def excluded_jobs(self, now: float) -> Collection[str]:
+        """Return the ids of the jobs whose failure here is recent, so that none of their tasks is placed here."""
+        if not self.failed_jobs:
+            return ()
+        return [job_id for job_id, until in self.failed_jobs.items() if until > now]
+
     def record_image(self, image: str, size_gb: float) -> None:
         """Record an image that is cached or being fetched, and drop the least recently used ones that it evicts."""
         self.cached_images[image] = size_gb
--- a/driftcleat/cluster/reconciliation.py
+++ b/driftcleat/cluster/reconciliation.py
@@ -3,6 +3,7 @@
 import logging
 
 from driftcleat.cluster.batch import Batch
+from driftcleat.cluster.job_failures import EXCLUSION_S
 from driftcleat.cluster.jobs import Job, JobState, TaskPlacement, TaskState
 from driftcleat.cluster.machines import HeartbeatOrder, Machine, MachineState, TaskKey
 from driftcleat.cluster.state import ClusterState
@@ -14,10 +15,6 @@
 # Enum members bound to module names: looking one up costs several times a comparison, and is done for every task.
 EXITED = TaskPhase.EXITED
 
-# Exponential backoff of a job whose tasks fail: base and maximum delay in seconds, and the largest exponent of two.
-BASE_RETRY_S = 0.5
-MAX_RETRY_S = 60.0
-MAX_RETRY_EXPONENT = 10
 # Pause of placements, in seconds, on a machine that had fewer free resources than its accounted usage says.
 INSUFFICIENT_RESOURCES_PAUSE_S = 2.0
 
@@ -106,16 +103,15 @@
     if reason == wire_workers.ExitReason.DONE:
         batch.transition_task(job.id, index, TaskState.DONE)
         batch.finish_job_if_complete(job.id)
-        cluster.failure_counts.pop(job.id, None)
+        cluster.failures.record_success(job.id)
         machine.failed_jobs.clear()
     else:
         _release(batch, job, index)
-        if reason in (
-            wire_workers.ExitReason.ERROR,
-            wire_workers.ExitReason.UNKNOWN_JOB,
-            wire_workers.ExitReason.OTHER_ATTEMPT_PRESENT,
-        ):
-            _record_failure(cluster, machine, job, now, reason == wire_workers.ExitReason.ERROR)
+        if reason == wire_workers.ExitReason.ERROR:
+            cluster.failures.record(job.id, machine.name, now)
+            machine.failed_jobs[job.id] = now + EXCLUSION_S
+        elif reason in (wire_workers.ExitReason.UNKNOWN_JOB, wire_workers.ExitReason.OTHER_ATTEMPT_PRESENT):
+            cluster.failures.record_refusal(job.id, now)
         elif reason == wire_workers.ExitReason.INSUFFICIENT_RESOURCES:
             # The leader's accounting and the worker's differ: wait for further heartbeats before placing more.
             machine.no_placement_until = max(machine.no_placement_until, now + INSUFFICIENT_RESOURCES_PAUSE_S)
@@ -123,16 +119,6 @@
     cluster.listener.task_exited(machine, job, reason)
 
 
-def _record_failure(cluster: ClusterState, machine: Machine, job: Job, now: float, blame_machine: bool) -> None:
-    """Delay the next attempt of a failed job; `blame_machine` counts the failure against the machine too."""
-    count = cluster.failure_counts.get(job.id, 0) + 1
-    cluster.failure_counts[job.id] = count
-    # A faulty job fails on every machine: it must not cycle through all of them at full speed.
-    cluster.retry_at[job.id] = now + min(MAX_RETRY_S, BASE_RETRY_S * 2 ** min(count, MAX_RETRY_EXPONENT))
-    if blame_machine:
-        machine.failed_jobs.add(job.id)
-
-
 def _release(batch: Batch, job: Job, index: int) -> None:
     """Requeue a task that left its machine without being done, and stop the rest of its gang."""
     batch.transition_task(job.id, index, TaskState.QUEUED)
--- a/driftcleat/cluster/state.py
+++ b/driftcleat/cluster/state.py
@@ -6,6 +6,7 @@
 
 from driftcleat.cluster.dependencies import DependencyGraph
 from driftcleat.cluster.job_dependencies import JobDependencies
+from driftcleat.cluster.job_failures import JobFailures
 from driftcleat.cluster.jobs import Job, JobState, TaskPlacement
 from driftcleat.cluster.listener import ClusterListener, NullListener
 from driftcleat.cluster.machines import AttemptKey, Machine, MachineState, TaskKey, transition_machine
@@ -50,9 +51,7 @@
         self.team_usage: dict[str, ResourceUsage] = {}
         self.machines_to_reconcile: set[str] = set()
         self.orphaned_tasks = OrphanedTasks()
-        # By job: when its tasks may be placed again after a failure, and how often they failed.
-        self.retry_at: dict[str, float] = {}
-        self.failure_counts: dict[str, int] = {}
+        self.failures = JobFailures()
         # Placements on machines that have sent no heartbeat in this term, by machine name.
         self.unconfirmed_placements: dict[str, dict[TaskKey, TaskPlacement]] = {}
         # Images (name, size in GB) that machines had in earlier terms; kept until a machine's first heartbeat.
--- a/driftcleat/placement/candidates.py
+++ b/driftcleat/placement/candidates.py
@@ -38,7 +38,7 @@
     cached_images: Container[str] = field(default_factory=frozenset)
     # Images being fetched, or to be fetched for tasks that this round places here. Fetches share the machine's rate.
     fetching_images: set[str] = field(default_factory=set)
-    failed_jobs: Container[str] = field(default_factory=frozenset)
+    excluded_jobs: Container[str] = field(default_factory=frozenset)
     busy: bool = False
     # The machine's price per hour.
     price: float = 0.0
--- a/driftcleat/placement/placement_round.py
+++ b/driftcleat/placement/placement_round.py
@@ -223,7 +223,7 @@
 def _filter_for_job(spec: JobSpec, candidate: Candidate, max_fetch_rank: int) -> bool:
     """Return whether a candidate for the shape may take tasks of this job; other jobs of the shape may differ."""
     return (
-        spec.id not in candidate.failed_jobs
+        spec.id not in candidate.excluded_jobs
         and candidate.reserved_for in (None, spec.id)
         and candidate.fetch_rank(spec.image) <= max_fetch_rank
     )
--- a/driftcleat/placement/preemption_plan.py
+++ b/driftcleat/placement/preemption_plan.py
@@ -23,7 +23,7 @@
     does not fit even without all of `victims`.
     """
     if (
-        spec.id in candidate.failed_jobs
+        spec.id in candidate.excluded_jobs
         or candidate.reserved_for not in (None, spec.id)
         or not candidate.satisfies_constraints(spec)
     ):
--- a/driftcleat/scheduler/free_capacity.py
+++ b/driftcleat/scheduler/free_capacity.py
@@ -15,10 +15,12 @@
         self._platform = context.platform
         self._cluster = context.cluster
         self._scale_out = scale_out
+        self._clock = context.clock
 
     def pool(self) -> CandidatePool:
         """Return the free capacity of machines that are up or booting, followed by that of requested machines."""
         pool = CandidatePool()
+        now = self._clock()
         for machine in self._cluster.machines.values():
             machine_type = machine.type
             if machine_type is None or machine.state not in (MachineState.UP, MachineState.BOOTING):
@@ -27,6 +29,7 @@
             gpus = machine_type.gpus - machine.used_gpus
             if gpus + cpus <= ROUNDING_TOLERANCE:
                 continue
+            excluded_jobs = machine.excluded_jobs(now)
             key = (
                 machine_type.name,
                 machine.zone,
@@ -35,14 +38,14 @@
                 round(cpus, FREE_RESOURCE_DECIMALS),
                 round(gpus, FREE_RESOURCE_DECIMALS),
                 round(machine_type.memory_gb - machine.used_memory_gb, FREE_RESOURCE_DECIMALS),
-                machine.name if machine.failed_jobs else "",
+                machine.name if excluded_jobs else "",
             )
             if not pool.add_to_group(key, machine.name):
                 # Sizing ignores images.
                 controllers_elsewhere = self._platform.controllers_outside(machine.zone)
-                pool.open_group(
-                    key, machine_candidate(machine, machine_type, controllers_elsewhere, NO_IMAGES, set())
-                )
+                candidate = machine_candidate(machine, machine_type, controllers_elsewhere, NO_IMAGES, set())
+                candidate.excluded_jobs = excluded_jobs
+                pool.open_group(key, candidate)
         for request in self._scale_out.unsettled:
             self._add_requested(pool, request)
         return pool
--- a/driftcleat/scheduler/machine_candidates.py
+++ b/driftcleat/scheduler/machine_candidates.py
@@ -79,6 +79,7 @@
         candidate = machine_candidate(
             machine, machine_type, controllers_elsewhere, machine.cached_images, fetching_images
         )
+        candidate.excluded_jobs = machine.excluded_jobs(now)
         candidate.reserved_for = self._reservations.holder(machine.name, now)
         return candidate
 
@@ -90,7 +91,7 @@
     cached_images: Container[str],
     fetching_images: set[str],
 ) -> Candidate:
-    """Return a machine as a candidate without a reservation.
+    """Return a machine as a candidate without a reservation and without excluded jobs.
 
     The arguments are positional, which is faster: each round creates a candidate for each machine.
     """
@@ -104,7 +105,7 @@
         machine_type.memory_gb - machine.used_memory_gb,
         cached_images,
         fetching_images,
-        machine.failed_jobs,
+        (),
         bool(machine.tasks),
         machine_type.spot_price if machine.spot else machine_type.price,
         machine_type.cpus,
--- a/driftcleat/scheduler/placement_pass.py
+++ b/driftcleat/scheduler/placement_pass.py
@@ -87,7 +87,7 @@
         any_attempted = False
         next_retry_at = INFINITE
         for job in jobs:
-            retry_at = self._cluster.retry_at.get(job.id, 0.0)
+            retry_at = self._cluster.failures.retry_at(job.id)
             if retry_at > now:
                 next_retry_at = min(next_retry_at, retry_at)
                 continue
--- a/driftcleat/scheduler/queued_demand.py
+++ b/driftcleat/scheduler/queued_demand.py
@@ -6,14 +6,13 @@
 from driftcleat.placement.quota import QuotaHeadroom
 from driftcleat.scheduler.context import INFINITE, SchedulerContext
 from driftcleat.scheduler.queue import JobQueue
+from driftcleat.wire.users import JobKind
+from driftcleat.wire.workers import TaskPhase
 
 # Guaranteed, priority level, CPUs, GPUs and memory (GB) of a task, machine types, zone, spot, latency-sensitive. A
 # plain tuple, since a named one takes longer to create and each plan creates one for each queued job.
 DemandShape = tuple[bool, int, float, float, float, tuple[str, ...] | None, str | None, bool, bool]
 
-# Number of failures from which on no machine is created for a job.
-MAX_FAILURES = 3
-
 
 class QueuedDemand:
     """Determines the demand of the queued jobs."""
@@ -22,18 +21,20 @@
         self._tuning = context.tuning
         self._cluster = context.cluster
         self._queue = queue
+        self._clock = context.clock
 
     def demands(self) -> list[Demand]:
         """Return the demand of the queued tasks that their teams' quotas still admit, in queue order."""
+        now = self._clock()
         queued = self._queue.queued()
         quotas: dict[str, QuotaHeadroom] = {}
         demands: list[Demand] = []
         by_shape: dict[DemandShape, Demand] = {}
         for job in queued.jobs:
-            if self._cluster.failure_counts.get(job.id, 0) >= MAX_FAILURES:
-                continue
             quota = quotas.setdefault(job.spec.team, self._queue.quota_headroom(job.spec.team))
             tasks = _tasks_within(quota, job)
+            if self._cluster.failures.is_suspect(job.id, now):
+                tasks = min(tasks, self._tasks_of_suspect(job, now))
             if tasks <= 0:
                 continue
             quota.consume(job.spec, tasks)
@@ -51,6 +52,30 @@
                 by_shape[shape] = demand
         return demands
 
+    def _tasks_of_suspect(self, job: Job, now: float) -> int:
+        """Return for how many tasks of a job that has failed on several machines more machines may be added.
+
+        Guards against machines that are created, one after the other, for a job that fails on every machine: during
+        the delay there are none, and then those of one task or one gang. Replicas of a service that run show that the
+        machines are at fault, so as many may be added.
+        """
+        if self._cluster.failures.machines_at(job.id) > now:
+            return 0
+        if job.is_gang:
+            return job.tasks_queued
+        return max(1, self._running_replicas(job))
+
+    def _running_replicas(self, job: Job) -> int:
+        """Return how many replicas of a service run; 0 for an array, whose tasks show nothing until they are done."""
+        if job.spec.kind is not JobKind.SERVICE:
+            return 0
+        machines = self._cluster.machines
+        return sum(
+            placement.machine in machines
+            and machines[placement.machine].task_phases.get((job.id, index)) == TaskPhase.RUNNING
+            for index, placement in job.placements.items()
+        )
+
     def _shape(self, job: Job, guaranteed: bool) -> DemandShape | None:
         """Return the properties by which jobs are combined, so that planning time grows with shapes rather than jobs.
 
@@ -58,7 +83,7 @@
         """
         spec = job.spec
         zone_dependent = spec.tasks > 1 and (spec.single_zone or spec.spread)
-        if zone_dependent or job.id in self._cluster.failure_counts:
+        if zone_dependent or job.id in self._cluster.failures:
             return None
         return (
             guaranteed,
--- a/tests/reference_model.py
+++ b/tests/reference_model.py
@@ -264,8 +264,11 @@
             if task.state == "saving" and now >= task.ends_at:
                 task.checkpoint_saved = True
                 self.exit_task(task, "stopped")
-            elif task.state == "running" and now >= task.ends_at and task.job.kind is not JobKind.SERVICE:
-                self.exit_task(task, "error" if self.fails_tasks else "done")
+            elif task.state == "running" and now >= task.ends_at:
+                if self.fails_tasks:
+                    self.exit_task(task, "error")
+                elif task.job.kind is not JobKind.SERVICE:
+                    self.exit_task(task, "done")
         if self.awaiting_response_since is not None and now > self.awaiting_response_since + 4:
             self.awaiting_response_since, self.next_heartbeat_at = None, now + 1
         changed = self.observable_state() != self.last_sent_state and now >= self.heartbeat_sent_at + 0.5
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -222,6 +222,8 @@
         self.worker_controllers: dict[str, str] = {}
         self.submitted_ids: set[str] = set()
         self.max_machines = 14
+        # The number of machines, from the first one on, that fail every task that they start.
+        self.faulty_machines = 0
         # The last invariant violation or other exception raised outside of the scenario; raised again by `advance`.
         self.failure: BaseException | None = None
         # Controllers that do not announce support for data version 2, as the previous version.
@@ -537,7 +539,9 @@
         """Add a running machine and return its name."""
         self.machines_created += 1
         name = f"vm-{self.machines_created:06d}"
-        self.workers[name] = SimulatedWorker(self, name, self.types[record.machine_type], record.zone, record.spot)
+        worker = SimulatedWorker(self, name, self.types[record.machine_type], record.zone, record.spot)
+        worker.fails_tasks = self.machines_created <= self.faulty_machines
+        self.workers[name] = worker
         return name
 
     # Users
@@ -625,6 +629,14 @@
 
     cancelled: set[str]
 
+    async def wait_until_done(self, job_id: str, timeout_s: float) -> None:
+        """Poll an accepted job until it is done; fail after `timeout_s` seconds."""
+        end = self.time() + timeout_s
+        while self.statuses.get(job_id) != "done":
+            assert self.time() < end, f"{job_id} is {self.statuses.get(job_id)} after {timeout_s:.0f} s"
+            await self.poll(job_id)
+            await self.advance(1.0)
+
     async def poll(self, job_id: str, label: str | None = None) -> int:
         """Request a job's status once; return the HTTP status, or 0 if no response arrived."""
         status, response = await self.request("GET", f"/v1/jobs/{job_id}", label=label)
