A gang's task that gave up waiting is restarted in place, in the same attempt

What callers saw: a gang that lost a machine to a notice never runs again.

Cause: any exit but "done" ended the attempt and stopped the rest of the gang, whose machines then gave their fetches up. Fetch times that differ by more than gang_wait_s are enough, also at a first start.

Change: the response to a heartbeat that shows such an exit forgets it and starts the same attempt again; the placement stays as committed. An exit that was answered by a restart no longer proves that the task has left.

Why it works: the others go on fetching, so that all images arrive at last, and all tasks then wait at the same time. Only the task itself can take its place, on its machine: it cannot run twice or in another zone.

--- a/driftcleat/cluster/commands.py
+++ b/driftcleat/cluster/commands.py
@@ -50,7 +50,7 @@
 
 
 def _start_commands(cluster: ClusterState, machine: Machine, heartbeat: Heartbeat) -> list[Command]:
-    """Return start commands for placed tasks that the heartbeat does not list."""
+    """Return start commands for placed tasks that the heartbeat does not list, or that are restarted in place."""
     commands: list[Command] = []
     for key, placement in machine.tasks.items():
         job = cluster.jobs.get(key[0])
@@ -61,10 +61,15 @@
             # Guards against running a task twice: its machine reconnects while the batch that releases the placement
             # is in flight, and the next heartbeat response would start the released attempt again.
             continue
-        if attempt in machine.reported_phases or (job.is_gang and attempt in machine.observed_attempts):
+        restarts = attempt in machine.gang_waits_ended and cluster.may_restart_now(machine, attempt)
+        is_known = attempt in machine.reported_phases or (job.is_gang and attempt in machine.observed_attempts)
+        if is_known and not restarts:
             continue
         if machine.unacknowledged_responses > 1:
             continue
+        if restarts:
+            # The worker starts an attempt that it knows only after it has forgotten it.
+            commands.append(Command(FORGET, wire_workers.format_task_name(*key), placement.attempt))
         machine.starts_sent[attempt] = (heartbeat.worker_epoch, heartbeat.sequence)
         commands.append(Command(START, wire_workers.format_task_name(*key), placement.attempt))
     return commands
--- a/driftcleat/cluster/commit.py
+++ b/driftcleat/cluster/commit.py
@@ -46,6 +46,7 @@
         cluster.cancelled_jobs.discard(job.id)
         del cluster.jobs[job.id]
         cluster.failures.forget(job.id)
+        cluster.gang_restarts.forget(job.id)
 
 
 def _apply_task_transitions(cluster: ClusterState, batch: Batch, now: float) -> None:
--- a/driftcleat/cluster/heartbeat_intake.py
+++ b/driftcleat/cluster/heartbeat_intake.py
@@ -5,13 +5,14 @@
 from driftcleat.cluster.machines import AttemptKey, Machine, MachineState, TaskKey, transition_machine
 from driftcleat.cluster.state import ClusterState
 from driftcleat.wire import workers as wire_workers
-from driftcleat.wire.workers import Heartbeat, TaskPhase
+from driftcleat.wire.workers import ExitReason, Heartbeat, TaskPhase
 
 log = logging.getLogger(__name__)
 
 # Enum members bound to module names: looking one up costs several times a comparison, and is done for every task.
 EXITED = TaskPhase.EXITED
 FETCHING = TaskPhase.FETCHING
+GANG_INCOMPLETE = ExitReason.GANG_INCOMPLETE
 
 
 def apply_heartbeat(cluster: ClusterState, heartbeat: Heartbeat, now: float) -> Machine | None:
@@ -103,6 +104,7 @@
     """Apply the phases of a heartbeat's tasks: record orphaned tasks, changed phases and fetched images."""
     phases: dict[AttemptKey, str] = {}
     live: set[TaskKey] = set()
+    machine.gang_waits_ended.clear()
     for task in heartbeat.tasks:
         key = wire_workers.parse_task_name(task.task)
         if key is None:
@@ -120,6 +122,8 @@
                 if task.phase != FETCHING and image is not None and image not in machine.fetched_images:
                     machine.fetched_images.add(image)
                     cluster.listener.images_changed(machine)
+        elif task.exit_reason == GANG_INCOMPLETE:
+            machine.gang_waits_ended.add((key[0], key[1], task.attempt))
     machine.reported_phases = phases
     cluster.orphaned_tasks.keep_only(machine.name, live)
 
--- a/driftcleat/cluster/machines.py
+++ b/driftcleat/cluster/machines.py
@@ -49,6 +49,7 @@
         "failed_jobs",
         "fence_acknowledged",
         "fetched_images",
+        "gang_waits_ended",
         "idle_since",
         "in_sync",
         "last_heartbeat",
@@ -101,11 +102,12 @@
         self.in_sync = False
         # Task phases of the last heartbeat, as on the wire: an unknown phase is accepted.
         self.reported_phases: dict[AttemptKey, str] = {}
+        # Attempts of the last heartbeat that exited because their gang was not complete in time.
+        self.gang_waits_ended: set[AttemptKey] = set()
         # By attempt: the last heartbeat whose response carried the start command.
         self.starts_sent: dict[AttemptKey, HeartbeatOrder] = {}
         self.observed_attempts: set[AttemptKey] = set()
         self.task_phases: dict[TaskKey, str] = {}
-        # By job that failed here since a task was done here: until when it is not placed here again.
         self.failed_jobs: dict[str, float] = {}
         self.no_placement_until = 0.0
         # The last heartbeat that got a response; how many heartbeats in a row do not show the effect of earlier
@@ -149,8 +151,22 @@
             self.used_cpus = self.used_gpus = self.used_memory_gb = 0.0
             self.idle_since = now
 
+    def start_unanswered(self, attempt: AttemptKey) -> bool:
+        """Return whether a start command was sent that the last heartbeat does not show the effect of.
+
+        It went out with the response to that heartbeat, or to a later one that has not been applied: neither the
+        attempt's absence from the heartbeat nor an exit in it proves that the attempt is not on the machine.
+        """
+        start_sent = self.starts_sent.get(attempt)
+        if start_sent is None or self.last_heartbeat is None:
+            return False
+        return start_sent >= (self.last_heartbeat.worker_epoch, self.last_heartbeat.sequence)
+
     def excluded_jobs(self, now: float) -> Collection[str]:
-        """Return the ids of the jobs whose failure here is recent, so that none of their tasks is placed here."""
+        """Return the ids of the jobs whose failure here is recent, so that none of their tasks is placed here.
+
+        `failed_jobs` holds the jobs that failed here since a task was done here, with the end of their exclusion.
+        """
         if not self.failed_jobs:
             return ()
         return [job_id for job_id, until in self.failed_jobs.items() if until > now]
--- a/driftcleat/cluster/reconciliation.py
+++ b/driftcleat/cluster/reconciliation.py
@@ -5,7 +5,7 @@
 from driftcleat.cluster.batch import Batch
 from driftcleat.cluster.job_failures import EXCLUSION_S
 from driftcleat.cluster.jobs import Job, JobState, TaskPlacement, TaskState
-from driftcleat.cluster.machines import HeartbeatOrder, Machine, MachineState, TaskKey
+from driftcleat.cluster.machines import AttemptKey, Machine, MachineState, TaskKey
 from driftcleat.cluster.state import ClusterState
 from driftcleat.wire import workers as wire_workers
 from driftcleat.wire.workers import TaskPhase
@@ -30,7 +30,6 @@
     heartbeat = machine.last_heartbeat
     if heartbeat is None or not machine.fence_acknowledged:
         return True
-    order = (heartbeat.worker_epoch, heartbeat.sequence)
     exits = {(task.task, task.attempt): task for task in heartbeat.tasks if task.phase == EXITED}
     complete = True
     for key, placement in list(machine.tasks.items()):
@@ -40,10 +39,10 @@
         attempt = (key[0], key[1], placement.attempt)
         phase = machine.reported_phases.get(attempt)
         if phase is None:
-            complete = _reconcile_absent(machine, job, key, placement, order, batch) and complete
+            complete = _reconcile_absent(machine, job, key, placement, batch) and complete
             continue
         machine.observed_attempts.add(attempt)
-        if phase != EXITED:
+        if phase != EXITED or machine.start_unanswered(attempt) or _restarts(cluster, machine, job, attempt):
             continue
         if not batch.has_room_for_exit(job, key[1]):
             complete = batch.must_wait(job) and complete
@@ -53,6 +52,11 @@
     return complete
 
 
+def _restarts(cluster: ClusterState, machine: Machine, job: Job, attempt: AttemptKey) -> bool:
+    """Return whether an attempt that exited is started again in place; not if this batch stops its gang."""
+    return job.placements[attempt[1]].stop_grace_s is None and cluster.restarts_in_place(machine, attempt)
+
+
 def _release_all(machine: Machine, batch: Batch) -> bool:
     """Release the tasks of a terminated machine; return False if some did not fit into the batch."""
     complete = True
@@ -72,7 +76,6 @@
     job: Job,
     key: TaskKey,
     placement: TaskPlacement,
-    order: HeartbeatOrder,
     batch: Batch,
 ) -> bool:
     """Release a task that its machine does not list, if no start command for it can still arrive.
@@ -80,8 +83,7 @@
     Returns False if the release did not fit into the batch.
     """
     attempt = (key[0], key[1], placement.attempt)
-    start_sent = machine.starts_sent.get(attempt)
-    if start_sent is not None and start_sent >= order:
+    if machine.start_unanswered(attempt):
         return True
     unwanted = job.state is not JobState.ACTIVE or job.placements[key[1]].stop_grace_s is not None
     draining = machine.state is not MachineState.UP
--- a/driftcleat/cluster/state.py
+++ b/driftcleat/cluster/state.py
@@ -5,6 +5,7 @@
 """
 
 from driftcleat.cluster.dependencies import DependencyGraph
+from driftcleat.cluster.gang_restarts import GangRestarts
 from driftcleat.cluster.job_dependencies import JobDependencies
 from driftcleat.cluster.job_failures import JobFailures
 from driftcleat.cluster.jobs import Job, JobState, TaskPlacement
@@ -52,6 +53,7 @@
         self.machines_to_reconcile: set[str] = set()
         self.orphaned_tasks = OrphanedTasks()
         self.failures = JobFailures()
+        self.gang_restarts = GangRestarts(lease_s)
         # Placements on machines that have sent no heartbeat in this term, by machine name.
         self.unconfirmed_placements: dict[str, dict[TaskKey, TaskPlacement]] = {}
         # Images (name, size in GB) that machines had in earlier terms; kept until a machine's first heartbeat.
@@ -137,22 +139,53 @@
         if machine is None or machine.last_heartbeat is None or not machine.fence_acknowledged:
             return True
         attempt = (key[0], key[1], placement.attempt)
+        if machine.start_unanswered(attempt):
+            return True
         phase = machine.reported_phases.get(attempt)
-        if phase is None:
-            start_sent = machine.starts_sent.get(attempt)
-            return start_sent is not None and start_sent >= (
-                machine.last_heartbeat.worker_epoch,
-                machine.last_heartbeat.sequence,
-            )
-        return phase != EXITED
+        return phase is not None and phase != EXITED
 
     def has_uncommitted_exits(self, machine: Machine) -> bool:
-        """Return whether a machine's last heartbeat lists exits that are not committed yet."""
+        """Return whether a machine's last heartbeat lists exits that are not committed yet, but will be."""
         return not machine.in_sync and any(
-            phase == EXITED and attempt[:2] in machine.tasks and machine.tasks[attempt[:2]].attempt == attempt[2]
+            phase == EXITED
+            and attempt[:2] in machine.tasks
+            and machine.tasks[attempt[:2]].attempt == attempt[2]
+            and not self.restarts_in_place(machine, attempt)
             for attempt, phase in machine.reported_phases.items()
         )
 
+    def restarts_in_place(self, machine: Machine, attempt: AttemptKey) -> bool:
+        """Return whether a placed task that exited is to be started again on its machine, in the same attempt.
+
+        A gang's task exits if the others do not have their images in time. These go on fetching, and the gang starts
+        once all of its tasks wait at the same time. If the whole gang were stopped and placed in a new attempt, its
+        machines would give their fetches up, and a gang whose fetches differ by more than the wait would never start.
+        """
+        if attempt not in machine.gang_waits_ended:
+            return False
+        job = self.jobs.get(attempt[0])
+        placement = machine.tasks.get(attempt[:2])
+        return (
+            job is not None
+            and placement is not None
+            and placement.attempt == attempt[2]
+            and placement.stop_grace_s is None
+            and not self.must_not_run(job)
+            and machine.state is MachineState.UP
+        )
+
+    def may_restart_now(self, machine: Machine, attempt: AttemptKey) -> bool:
+        """Return whether an attempt that is to be restarted in place gets its start command now."""
+        if not self.restarts_in_place(machine, attempt):
+            return False
+        job = self.jobs[attempt[0]]
+
+        def has_exited(index: int) -> bool:
+            holder = self.machines.get(job.placements[index].machine) if index in job.placements else None
+            return holder is not None and (job.id, index, attempt[2]) in holder.gang_waits_ended
+
+        return self.gang_restarts.may_restart(job, has_exited, machine.last_heartbeat_at)
+
     def mark_out_of_sync(self, job: Job) -> None:
         """Make the machines of a job get commands with their next heartbeat, even if that is unchanged."""
         for placement in job.placements.values():
--- a/tests/reference_model.py
+++ b/tests/reference_model.py
@@ -120,6 +120,14 @@
     exit_reason: str | None = None
     checkpoint_saved: bool = False
     ends_at: float = 0.0
+    # Since when it waits for the rest of its gang, and since when a task of its running gang is missing.
+    waiting_since: float = 0.0
+    incomplete_since: float | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether it has its image and, in a gang, all tasks have started together."""
+        return self.state not in ("pulling", "waiting")
 
 
 class ReferenceWorker:
@@ -137,6 +145,11 @@
         self.awaiting_response_since: float | None = None
         self.heartbeat_sent_at = model.now
         self.last_sent_state: Any = None
+        # Images on the machine, and when the fetches of others will be complete.
+        self.images: set[str] = set()
+        self.fetches: dict[str, float] = {}
+        # Seconds after which the cloud takes the machine away, as the worker reports it.
+        self.termination_notice_s: float | None = None
 
     def observable_state(self) -> Any:
         """Return the state whose change makes the worker send a heartbeat before the next one is due."""
@@ -154,7 +167,8 @@
             self.worker_epoch,
             self.sequence,
             self.fencing_token,
-            tuple(
+            termination_notice_s=self.termination_notice_s,
+            tasks=tuple(
                 TaskStatus(
                     f"{task.job.id}/{task.index}",
                     task.attempt,
@@ -211,6 +225,12 @@
                     self.exit_task(task, "stopped")
             elif command.action == "forget" and task is not None and task.state == "exited":
                 del self.tasks[key]
+        self.abandon_fetches()
+
+    def abandon_fetches(self) -> None:
+        """Give up the fetches of images for which no task waits any more."""
+        wanted = {task.job.image for task in self.tasks.values() if task.state == "pulling"}
+        self.fetches = {image: done_at for image, done_at in self.fetches.items() if image in wanted}
 
     def restart(self) -> None:
         """Restart the machine at once: its tasks are lost and a new worker epoch begins."""
@@ -233,16 +253,42 @@
             task.state, task.exit_reason = "exited", "no_room"
         else:
             self.model.check_start(self, task)
-            task.ends_at = self.model.now + job.estimated_run_s * self.model.rng.uniform(0.3, 1.5)
+            if self.model.fetch_gb_per_s is None:
+                self.run_task(task)
+            else:
+                task.state = "pulling"
+                if job.image not in self.images:
+                    fetch_s = job.image_gb / self.model.fetch_gb_per_s(self.name)
+                    self.fetches.setdefault(job.image, self.model.now + fetch_s)
+
+    def run_task(self, task: WorkerTask) -> None:
+        """Begin the run time of a task."""
+        task.state = "running"
+        task.ends_at = self.model.now + task.job.estimated_run_s * self.model.rng.uniform(0.3, 1.5)
+
+    def step_fetches_and_gangs(self) -> None:
+        """Complete fetches, and let gang tasks wait for the others, start with them or exit without them."""
+        now = self.model.now
+        done = {image for image, done_at in self.fetches.items() if done_at <= now}
+        self.images |= done
+        for task in list(self.tasks.values()):
+            if task.state == "pulling" and task.job.image in self.images:
+                task.state, task.waiting_since = "waiting", now
+                if task.job.kind is not JobKind.GANG:
+                    self.run_task(task)
+            elif task.state == "waiting" and now - task.waiting_since > self.model.platform.gang_wait_s:
+                self.exit_task(task, "alone")
+        self.abandon_fetches()
 
     def exit_task(self, task: WorkerTask, reason: str) -> None:
         """End a task; the other tasks of its gang attempt end with it."""
+        had_started = task.has_started
         task.state, task.exit_reason = "exited", reason
         if reason == "done":
             self.model.finished.add((task.job.id, task.index))
-        if task.job.kind is JobKind.GANG:
+        if task.job.kind is JobKind.GANG and had_started:
             for other in self.model.tasks_on_machines():
-                if other[1].job.id == task.job.id and other[1].attempt == task.attempt:
+                if other[1].job.id == task.job.id and other[1].attempt == task.attempt and other[1].has_started:
                     other[0].exit_gang_task(other[1], "done" if reason == "done" else "mates_gone")
 
     def exit_gang_task(self, task: WorkerTask, reason: str) -> None:
@@ -260,6 +306,8 @@
             self.tasks.clear()
             self.worker_epoch += 1
             self.lease_renewed_at, self.awaiting_response_since = now, None
+        if self.model.fetch_gb_per_s is not None:
+            self.step_fetches_and_gangs()
         for task in list(self.tasks.values()):
             if task.state == "saving" and now >= task.ends_at:
                 task.checkpoint_saved = True
@@ -335,9 +383,13 @@
         self.duplicate_rate = 0.0
         # While this leader responds, all workers send their heartbeats to it.
         self.sticky_leader: Leader | None = None
+        # The fetch rate of a machine by its name, in GB/s. If it is None, tasks start at once, and so do gangs.
+        self.fetch_gb_per_s: Callable[[str], float] | None = None
         self.cloud_up = True
         self.store_up = True
         self.task_starts = 0
+        # Job and attempt of each gang that began to run.
+        self.gang_starts: list[tuple[str, int]] = []
 
     # Messages
 
@@ -620,6 +672,26 @@
             )
         self.statuses[status.id] = status.state
 
+    def step_gangs(self) -> None:
+        """Start the gangs of which all tasks wait, and end those that have lost a task while they ran."""
+        attempts: dict[tuple[str, int], list[tuple[ReferenceWorker, WorkerTask]]] = {}
+        for worker, task in self.tasks_on_machines():
+            if task.job.kind is JobKind.GANG:
+                attempts.setdefault((task.job.id, task.attempt), []).append((worker, task))
+        for members in attempts.values():
+            complete = len({task.index for _, task in members}) == members[0][1].job.tasks
+            if complete and all(task.state == "waiting" and not worker.hung for worker, task in members):
+                for worker, task in members:
+                    worker.run_task(task)
+                self.gang_starts.append((members[0][1].job.id, members[0][1].attempt))
+            for worker, task in members:
+                if complete or not task.has_started or worker.hung:
+                    task.incomplete_since = None
+                elif task.incomplete_since is None:
+                    task.incomplete_since = self.now
+                elif self.now - task.incomplete_since > self.platform.gang_peer_s / 2:
+                    worker.exit_gang_task(task, "mates_gone")
+
     # Invariants
 
     def alive(self) -> list[ReferenceWorker]:
@@ -708,6 +780,8 @@
             message.deliver()
         for worker in list(self.workers.values()):
             worker.step()
+        if self.fetch_gb_per_s is not None:
+            self.step_gangs()
         for leader in self.leaders[-3:]:
             self.step_writer(leader)
         if int(self.now * 4) % 4 == 0:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -217,6 +217,8 @@
         self.store_delay_s = 0.0
         # Seconds from the moment at which a transaction is applied until its response arrives.
         self.commit_response_delay_s = 0.0
+        # Seconds, give or take half, that a heartbeat takes to its controller.
+        self.heartbeat_delay_s = 0.0
         # Whether connections between controllers are refused.
         self.refuses_peers = False
         self.worker_controllers: dict[str, str] = {}
@@ -282,6 +284,8 @@
                             worker.receive_commands(*command)
                         worker.queued_commands = []  # type: ignore[attr-defined]
                     worker.step()
+                if self.fetch_gb_per_s is not None:
+                    self.step_gangs()
                 for _, task in self.tasks_on_machines():
                     self.check_cancelled(task.job.id)
                 await asyncio.sleep(self.STEP_S)
@@ -466,6 +470,8 @@
             self.spawn(self._send_duplicate(body))
         response: Any = None
         await asyncio.sleep(0.002)
+        if self.heartbeat_delay_s:
+            await asyncio.sleep(self.heartbeat_delay_s * self.rng.uniform(0.5, 1.5))
         if (
             not worker.partitioned
             and not worker.outbound_cut
