A gang whose records can never fit the limits is refused; the others always fit

Cause: the layout of data version 2 raised the tasks per record of a large gang so that all records fit one transaction, without a look at the limit on values; admission asked only for the head and one row. The placement was postponed each time for a record above the value.

Evidence: simulated with the limits of the case, gangs of 60 to 95 tasks are done, those of 100 to 150 are accepted and have started nothing after 90 s; each logs "the value is larger than 2048 bytes" for a record of the job.

Change: max_gang_tasks derives the largest gang from the limits that hold and those announced; a larger one gets 422 with that number. Rows and heads are estimated more closely, so that the gang of 100 fits and runs. The stop of a gang is charged once, and records of arrays leave room for a change.

Why it works: the bound is that of the batch's own budget, for a gang with a machine for each task, so what passes admission fits when it is placed, stopped or ends, in both data versions.

--- a/driftcleat/api/submissions.py
+++ b/driftcleat/api/submissions.py
@@ -14,7 +14,7 @@
 from driftcleat.scheduler import PendingRequest, Scheduler, unschedulable_reason
 from driftcleat.settings import Platform
 from driftcleat.wire.job_spec_parsing import InvalidFieldError, parse_job_id, parse_object, parse_submission
-from driftcleat.wire.users import JobSpec, JobStatus
+from driftcleat.wire.users import JobKind, JobSpec, JobStatus
 
 
 class Submissions:
@@ -79,4 +79,15 @@
         if not scheduler.layout.spec_fits(spec):
             field = "tows" if spec.dependencies else "builds"
             raise RequestRefusedError(Response.error(400, f"{field}: more is named than can be stored", field))
+        self._check_gang_size(scheduler, spec)
         return spec
+
+    @staticmethod
+    def _check_gang_size(scheduler: Scheduler, spec: JobSpec) -> None:
+        """Raise `RequestRefusedError` for a gang whose tasks cannot be placed, or cannot end, in one transaction."""
+        if spec.kind is not JobKind.GANG:
+            return
+        max_tasks = scheduler.layout.max_gang_tasks(spec)
+        if spec.tasks > max_tasks:
+            reason = f"hands: a gang may have at most {max_tasks} tasks of this kind"
+            raise RequestRefusedError(Response.error(422, reason, "hands"))
--- a/driftcleat/scheduler/drains.py
+++ b/driftcleat/scheduler/drains.py
@@ -55,7 +55,8 @@
         grace_s = job.spec.checkpoint_duration_s if job.spec.checkpoint_interval_s > 0 else 0.0
         indices = list(job.placements) if job.is_gang else [index]
         chunks = {self._layout.chunk_of(job, stopped) for stopped in indices}
-        if not batch.has_room(job, len(indices), chunks):
+        # The records are charged with grace periods already, so that stops add nothing.
+        if not batch.has_room(job, 0, chunks):
             return False
         for stopped in indices:
             batch.stop_task(job.id, stopped, grace_s)
--- a/driftcleat/store/layout.py
+++ b/driftcleat/store/layout.py
@@ -1,5 +1,7 @@
 """The division of a job's tasks into records, and the contents of each record."""
 
+import bisect
+
 import msgspec
 
 from driftcleat import wire
@@ -13,10 +15,13 @@
 # divide by the same numbers, so these must not change.
 VERSION_1_HEAD_BYTES = 2600
 VERSION_1_TASK_BYTES = 110
-# The largest size of one task's `PlacementRow` without its zone: machine, attempt, index and a grace period of up to
-# `GRACE_PERIOD_BYTES`.
-MAX_ROW_BYTES_WITHOUT_ZONE = 46
-GRACE_PERIOD_BYTES = 8
+# The parts of one task's `PlacementRow`: brackets, commas and the separator; the machine's name with its quotes; the
+# digits of the attempt; the quotes of the index; a grace period that is not set (`null`) or 0.0.
+ROW_SYNTAX_BYTES = 7
+MAX_MACHINE_NAME_BYTES = 12
+MAX_ATTEMPT_DIGITS = 6
+INDEX_QUOTES_BYTES = 2
+MIN_GRACE_PERIOD_BYTES = 4
 # The largest size of a completed task in the ranges of indices: five digits and a separator.
 MAX_DONE_TASK_BYTES = 6
 # What a record takes in a transaction besides its value: the put, the compares of its own key and of the key of the
@@ -33,10 +38,9 @@
 # The assumed size of the zone in a row if the zones are not known.
 DEFAULT_ZONE_BYTES = 24
 # The largest size of a head record without specification, dependencies and placements, with the longest numbers.
-MAX_HEAD_FIELDS_BYTES = 160
-# Operations in a batch that changes a whole gang, besides one for each of its records: the batch marker, and a second
-# operation for the head if the job ends (its final state is put, its head is deleted).
-EXTRA_GANG_OPERATIONS = 2
+MAX_HEAD_FIELDS_BYTES = 100
+# Operations in a batch that changes a whole gang, besides one for each of its records: the batch marker.
+EXTRA_GANG_OPERATIONS = 1
 
 
 class RecordLayout:
@@ -63,25 +67,77 @@
         self._version_1_tasks_per_record = max(
             1, (self.version_1_value_bytes - VERSION_1_HEAD_BYTES) // VERSION_1_TASK_BYTES
         )
-        zone_bytes = max((len(wire.encode(zone)) for zone in zones), default=DEFAULT_ZONE_BYTES)
-        self._max_row_bytes = MAX_ROW_BYTES_WITHOUT_ZONE + zone_bytes
+        self._zone_bytes = max((len(wire.encode(zone)) for zone in zones), default=DEFAULT_ZONE_BYTES)
 
     def tasks_per_record(self, job: Job) -> int:
         """Return the number of tasks in a record of this job; more for a large gang, which must fit one batch."""
         if job.tasks_per_record:
             return job.tasks_per_record
-        if job.is_gang:
-            return max(self._version_1_tasks_per_record, -(-job.spec.tasks // max(1, self.version_1_txn_ops // 2)))
-        return self._version_1_tasks_per_record
+        return (
+            self._version_1_gang_tasks_per_record(job.spec.tasks) if job.is_gang else self._version_1_tasks_per_record
+        )
+
+    def _version_1_gang_tasks_per_record(self, tasks: int) -> int:
+        return max(self._version_1_tasks_per_record, -(-tasks // max(1, self.version_1_txn_ops // 2)))
 
     def preferred_tasks_per_record(self, job: Job) -> int:
         """Return the number of tasks that a record of this job should hold in data version 2."""
-        tasks = max(1, (self.value_bytes - self.head_bytes(job.spec)) // self.spec_row_bytes(job.spec))
+        tasks = self._max_tasks_per_record(job.spec, self.value_bytes)
         if job.is_gang:
-            # A change of one task may change all tasks of the gang, so all its records must fit into one batch.
-            tasks = max(tasks, -(-job.spec.tasks // max(1, self.txn_ops - EXTRA_GANG_OPERATIONS)))
+            # A change of one task may change all tasks of the gang, so all its records must be changed by one batch.
+            # A gang above `max_gang_tasks`, accepted by an earlier version, gets larger records for that: they fit if
+            # enough of its tasks share machines.
+            tasks = max(tasks, -(-job.spec.tasks // self._max_gang_records))
         return tasks
 
+    def _max_tasks_per_record(self, spec: JobSpec, value_bytes: int) -> int:
+        """Return how many tasks a job's head, and so any of its records, always holds; at least 1."""
+        row_bytes = self.spec_row_bytes(spec)
+        # The exit of a task is charged with a row of its own.
+        record_bytes = min(value_bytes, MAX_BATCH_BYTES - self._framing_bytes(spec.id) - row_bytes)
+        return max(1, (record_bytes - self.head_bytes(spec)) // row_bytes)
+
+    @property
+    def _max_gang_records(self) -> int:
+        """The number of records of one gang that a batch may change under the announced limits."""
+        return max(1, self.txn_ops - EXTRA_GANG_OPERATIONS)
+
+    def max_gang_tasks(self, spec: JobSpec) -> int:
+        """Return the largest number of tasks, up to its own, with which a gang fits under all limits to come.
+
+        The placement of a gang is one batch, and so is each exit, which may stop all other tasks.
+        """
+        if self._gang_fits(spec):
+            return spec.tasks
+
+        def is_too_large(tasks: int) -> bool:
+            return not self._gang_fits(msgspec.structs.replace(spec, tasks=tasks))
+
+        return bisect.bisect_left(range(1, spec.tasks), True, key=is_too_large)
+
+    def _gang_fits(self, spec: JobSpec) -> bool:
+        """Return whether all records of a gang fit, in each data version, if each task has a machine of its own."""
+        if not self._gang_records_fit(spec, self._max_tasks_per_record(spec, self.value_bytes)):
+            return False
+        if self.version_2_active or spec.dependencies:
+            return True
+        per_record = self._version_1_gang_tasks_per_record(spec.tasks)
+        head_tasks = min(spec.tasks, per_record)
+        return head_tasks <= self._max_tasks_per_record(spec, self.version_1_value_bytes) and self._gang_records_fit(
+            spec, per_record
+        )
+
+    def _gang_records_fit(self, spec: JobSpec, tasks_per_record: int) -> bool:
+        """Return whether all records of a gang fit into one batch, together with the exit of one of its tasks."""
+        records = -(-spec.tasks // tasks_per_record)
+        size_bytes = (
+            self.head_bytes(spec)
+            + (records - 1) * CHUNK_FIELDS_BYTES
+            + records * self._framing_bytes(spec.id)
+            + (spec.tasks + 1) * self.spec_row_bytes(spec)
+        )
+        return records <= self._max_gang_records and size_bytes <= MAX_BATCH_BYTES
+
     @staticmethod
     def head_bytes(spec: JobSpec) -> int:
         """Return the largest size, in bytes, of a job's head record without placements."""
@@ -90,14 +146,16 @@
 
     def spec_row_bytes(self, spec: JobSpec) -> int:
         """Return the largest size, in bytes, of the row of one task; the grace period is the user's number."""
-        grace_bytes = len(wire.encode(spec.checkpoint_duration_s))
-        return self._max_row_bytes + max(0, grace_bytes - GRACE_PERIOD_BYTES)
+        index_bytes = len(str(spec.tasks - 1)) + INDEX_QUOTES_BYTES
+        grace_bytes = max(MIN_GRACE_PERIOD_BYTES, len(wire.encode(spec.checkpoint_duration_s)))
+        names_bytes = MAX_MACHINE_NAME_BYTES + self._zone_bytes
+        return ROW_SYNTAX_BYTES + names_bytes + MAX_ATTEMPT_DIGITS + index_bytes + grace_bytes
 
     def spec_fits(self, spec: JobSpec) -> bool:
         """Return whether a job's records fit into values and into a batch, under the limits that will apply to it.
 
-        A job with dependencies is stored in data version 2 only, where the number of tasks in a record follows from
-        the size of its head.
+        Of a gang, `max_gang_tasks` tells whether all of its records fit at once. A job with dependencies is stored in
+        data version 2 only, where the number of tasks in a record follows from the size of its head.
         """
         head_bytes = self.head_bytes(spec)
         row_bytes = self.spec_row_bytes(spec)
