Tests: a random walk in which accepted jobs are hard to start; gangs must not wait either

Once the faults are over, no job may wait for 90 s while machines that fit have room and its team is under its limit; this now holds for gangs in both walks, where it was asked of single tasks only.

The reference worker keeps the result of a completed task, completes a gang as a whole, and ends a running gang of which a task was lost and started again.

--- a/tests/reference_model.py
+++ b/tests/reference_model.py
@@ -274,7 +274,10 @@
         for task in list(self.tasks.values()):
             if task.state == "pulling" and task.job.image in self.images:
                 task.state, task.waiting_since = "waiting", now
-                if task.job.kind is not JobKind.GANG:
+                if (task.job.id, task.index) in self.model.finished:
+                    # The result of a completed task is kept.
+                    task.state, task.exit_reason = "exited", "done"
+                elif task.job.kind is not JobKind.GANG:
                     self.run_task(task)
             elif task.state == "waiting" and now - task.waiting_since > self.model.platform.gang_wait_s:
                 self.exit_task(task, "alone")
@@ -284,6 +287,9 @@
         """End a task; the other tasks of its gang attempt end with it."""
         had_started = task.has_started
         task.state, task.exit_reason = "exited", reason
+        if reason == "done" and task.job.kind is JobKind.GANG and self.model.fetch_gb_per_s is not None:
+            # A gang completes as a whole, also a task that is lost at that moment.
+            self.model.finished.update((task.job.id, index) for index in range(task.job.tasks))
         if reason == "done":
             self.model.finished.add((task.job.id, task.index))
         if task.job.kind is JobKind.GANG and had_started:
@@ -679,13 +685,16 @@
             if task.job.kind is JobKind.GANG:
                 attempts.setdefault((task.job.id, task.attempt), []).append((worker, task))
         for members in attempts.values():
-            complete = len({task.index for _, task in members}) == members[0][1].job.tasks
-            if complete and all(task.state == "waiting" and not worker.hung for worker, task in members):
+            tasks = members[0][1].job.tasks
+            waiting = {task.index for worker, task in members if task.state == "waiting" and not worker.hung}
+            if len(waiting) == tasks:
                 for worker, task in members:
                     worker.run_task(task)
                 self.gang_starts.append((members[0][1].job.id, members[0][1].attempt))
+            # A task that is back after it was lost waits: it does not make a running gang complete again.
+            has_lost_none = len({task.index for _, task in members if task.has_started}) == tasks
             for worker, task in members:
-                if complete or not task.has_started or worker.hung:
+                if has_lost_none or not task.has_started or worker.hung:
                     task.incomplete_since = None
                 elif task.incomplete_since is None:
                     task.incomplete_since = self.now
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -22,7 +22,7 @@
 from driftcleat.leadership import Role
 from driftcleat.net import ConnectionLimiter, HttpError, HttpResponse
 from driftcleat.peers import PeerClient
-from driftcleat.placement.candidates import fits, satisfies_constraints
+from driftcleat.placement.candidates import satisfies_constraints, spread_limit, task_capacity
 from driftcleat.settings import Tuning
 from driftcleat.settings.platform import Platform, parse_platform
 from driftcleat.store.client import StoreClient
@@ -674,27 +674,39 @@
             spec = self.specs[job_id]
             team = self.platform.teams[spec.team]
             used = sum(task.job.gpus for _, task in live if task.job.team == spec.team)
+            at_once = spec.tasks if spec.kind is JobKind.GANG else 1
             if (
                 state in ("done", "cancelled")
                 or job_id in self.cancelled
                 or any(self.statuses.get(dependency) != "done" for dependency in spec.dependencies or ())
                 or any(task.job.id == job_id for _, task in live)
-                or (spec.kind is JobKind.GANG and spec.tasks > 1)
-                or used + spec.gpus > team.gpus_max + 1e-6
-                or not any(self._has_room(worker, spec) for worker in self.alive())
+                or used + spec.gpus * at_once > team.gpus_max + 1e-6
+                or not self._have_room(spec, at_once)
             ):
                 waiting_since.pop(job_id, None)
             elif self.time() - waiting_since.setdefault(job_id, self.time()) > 90.0:
                 raise InvariantViolationError(f"left waiting: {job_id} although a machine has room for it")
 
-    def _has_room(self, worker: ReferenceWorker, spec: JobSpec) -> bool:
-        """Return whether a machine meets a job's constraints and has room for one of its tasks."""
+    def _have_room(self, spec: JobSpec, tasks: int) -> bool:
+        """Return whether machines that meet a job's constraints have room for so many of its tasks at once."""
+        by_zone: dict[str, int] = {}
+        for worker in self.alive():
+            by_zone[worker.zone] = by_zone.get(worker.zone, 0) + self._room_on(worker, spec)
+        if spec.single_zone:
+            return any(room >= tasks for room in by_zone.values())
+        return sum(min(room, spread_limit(spec)) for room in by_zone.values()) >= tasks
+
+    def _room_on(self, worker: ReferenceWorker, spec: JobSpec) -> int:
+        """Return for how many tasks of a job a machine has room; 0 if it does not meet the job's constraints."""
+        if not satisfies_constraints(spec, worker.machine_type.name, worker.zone, worker.spot):
+            return 0
         tasks = [task.job for task in worker.tasks.values() if task.state != "exited"]
-        return satisfies_constraints(spec, worker.machine_type.name, worker.zone, worker.spot) and fits(
+        return task_capacity(
             spec,
             worker.machine_type.cpus - sum(job.cpus for job in tasks),
             worker.machine_type.gpus - sum(job.gpus for job in tasks),
             worker.machine_type.memory_gb - sum(job.memory_gb for job in tasks),
+            spec.tasks,
         )
 
     async def verify_recovery(self) -> None:
--- a/tests/test_controller_fault_walk.py
+++ b/tests/test_controller_fault_walk.py
@@ -179,12 +179,22 @@
     )
 
 
+# A function that returns the submission of a number, which may depend on the jobs that are known.
+Submission = Callable[[random.Random, int, list[str]], dict[str, object]]
+
+
 def accepted_job_ids(simulation: Simulation) -> list[str]:
     """Return the accepted jobs on which others may depend: all but services."""
     return sorted(job_id for job_id in simulation.statuses if simulation.specs[job_id].kind is not JobKind.SERVICE)
 
 
-def run_fault_walk(seed: int, kind: type[Simulation] = Simulation) -> Simulation:
+def run_fault_walk(
+    seed: int,
+    kind: type[Simulation] = Simulation,
+    faults: list[Fault] = FAULTS,
+    submission: Submission = random_raw_job,
+) -> Simulation:
+    """Run the walk of a seed with these faults and submissions; raise if an invariant does not hold."""
     rng = random.Random(seed)
     simulation = kind(seed, next={"value_kb": 2.0, "txn_ops": 4, "write_rps": 35.0})
 
@@ -192,18 +202,18 @@
         number = 0
         for _ in range(6):
             number += 1
-            simulation.submit_until_accepted(random_raw_job(rng, number, accepted_job_ids(simulation)))
+            simulation.submit_until_accepted(submission(rng, number, accepted_job_ids(simulation)))
             await simulation.advance(0.5)
         await simulation.advance(9.0)
         for _ in range(rng.randrange(4, 12)):
-            for fault in rng.sample(FAULTS, 2):
+            for fault in rng.sample(faults, 2):
                 fault(simulation, rng)
                 await simulation.advance(rng.choice([0.0, 0.1, 0.5, 2.0, 5.0]))
                 if rng.random() < 0.4:
                     simulation.cancel_until_confirmed(f"req-{rng.randrange(1, number + 1):06d}")
             if rng.random() < 0.5:
                 number += 1
-                simulation.submit_until_accepted(random_raw_job(rng, number, accepted_job_ids(simulation)))
+                simulation.submit_until_accepted(submission(rng, number, accepted_job_ids(simulation)))
             if rng.random() < 0.1:
                 simulation.lower_limits()
             for _ in range(3):
