A follower reads a job again after its needs, before it answers a poll

Cause: the follower read the job's head, then its needs, and answered from the first read.

Change: the head is read again after the needs. Why it works: the answer is from the last read, so no commit that was confirmed while the needs were read is left out.

--- a/driftcleat/api/job_status.py
+++ b/driftcleat/api/job_status.py
@@ -67,11 +67,9 @@
         """
         try:
             if scheduler is None or not self._active_term.may_decide:
-                job = await self._records.read_head(job_id)
-                if job is not None:
-                    return self._respond(
-                        JobStatus(job_id, await self._recorded_state(job), job.tasks_done, len(job.placements))
-                    )
+                recorded = await self._recorded_status(job_id)
+                if recorded is not None:
+                    return self._respond(recorded)
             status = await self._records.read_final_status(job_id)
         except (StoreError, wire.WireError):
             return self._responses.store_unavailable()
@@ -83,11 +81,20 @@
             return self._responses.unavailable("leadership changed")
         return Response.error(404, "no such job")
 
-    async def _recorded_state(self, job: Job) -> str:
-        """Return the state that a poll reports for a job with this head record."""
-        if job.state is JobState.CANCELLED or await self._dependencies.has_cancelled_dependency(job.spec):
-            return "cancelled"
-        return "running" if job.placements else "pending"
+    async def _recorded_status(self, job_id: str) -> JobStatus | None:
+        """Return the status that a job's head record tells; None if there is no such record.
+
+        The head is read again after the dependencies: meanwhile the job may have been cancelled, or have ended, and
+        users may have been told so.
+        """
+        job = await self._records.read_head(job_id)
+        if job is not None and job.state is JobState.ACTIVE and job.spec.dependencies:
+            if await self._dependencies.has_cancelled_dependency(job.spec):
+                return JobStatus(job_id, JobState.CANCELLED.value, job.tasks_done, len(job.placements))
+            job = await self._records.read_head(job_id)
+        return (
+            JobStatus(job_id, _recorded_state(job), job.tasks_done, len(job.placements)) if job is not None else None
+        )
 
     def _respond(self, status: JobStatus) -> Response:
         """Return the response with a status, which is cached if it is final."""
@@ -103,3 +110,10 @@
                 }
             ),
         )
+
+
+def _recorded_state(job: Job) -> str:
+    """Return the state that a poll reports for a job with this head record, whose dependencies are not cancelled."""
+    if job.state is JobState.CANCELLED:
+        return "cancelled"
+    return "running" if job.placements else "pending"
--- a/tests/test_answer_order.py
+++ b/tests/test_answer_order.py
@@ -167,3 +167,26 @@
         assert simulation.time() - started_at < 0.01
 
     run_with_late_commit_responses(1, 1.2, scenario, two_jobs)
+
+
+@pytest.mark.parametrize("store_delay_s", [0.05, 0.2, 0.5])
+@pytest.mark.parametrize("seed", range(3))
+def test_poll_that_reads_dependencies_is_not_older_than_a_cancellation(seed: int, store_delay_s: float) -> None:
+    """Guards against a follower that reads a job, then its dependencies, and answers what the job was at first."""
+
+    async def scenario(simulation: Simulation) -> None:
+        leader, _ = leader_and_follower(simulation)
+        await simulation.submit_until_accepted(raw_job(1, hands=1, voyageS=200.0), leader)
+        await simulation.submit_until_accepted(raw_job(2, hands=1, tows=["req-000001"]), leader)
+        await simulation.run_until(simulation.tasks_on_machines)
+        simulation.refuses_peers = True
+        simulation.store_delay_s = store_delay_s
+        cancelling = simulation.cancel_until_confirmed("req-000002", leader)
+        for _ in range(300):
+            simulation.spawn(follower_state(simulation, "req-000002"))
+            await simulation.advance(0.02)
+        await simulation.run_until(cancelling.done)
+        simulation.store_delay_s = 0.0
+        await until_follower_says(simulation, "req-000002", "cancelled")
+
+    Simulation(seed).run_scenario(scenario)
