--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -29,7 +29,7 @@
 from driftcleat.store.records import ScaleOutRecord
 from driftcleat.wire.job_spec_parsing import parse_submission
 from driftcleat.wire.users import JobKind, JobSpec
-from driftcleat.wire.workers import Command, Heartbeat, HeartbeatResponse
+from driftcleat.wire.workers import Command, CommandAction, Heartbeat, HeartbeatResponse
 from driftcleat.workers import WorkerClient
 
 from .protocol_doubles import StoreDouble
@@ -450,6 +450,9 @@
         assert worker is not None
         raw = json.loads(body)
         commands = wire.convert(raw["signals"], list[Command])
+        if any(command.action == CommandAction.START for command in commands):
+            # The network may deliver it late, or a copy of it: the attempt would start anew after it was forgotten.
+            self.failure = InvariantViolationError(f"start sent outside of a heartbeat response to {worker.name}")
         if worker.hung:
             worker.queued_commands.append((raw["helm"], raw["watch"], commands))  # type: ignore[attr-defined]
             await self.wait_forever()
@@ -495,9 +498,7 @@
             await asyncio.sleep(0.2)
         if response is not None and response.status == 200:
             reply = wire.decode(response.body, HeartbeatResponse)
-            worker.receive_response(
-                heartbeat.worker_epoch, heartbeat.sequence, reply.fencing_token, reply.commands, sent_at
-            )
+            self.deliver_response(worker, heartbeat, reply, sent_at)
             if reply.fencing_token >= worker.fencing_token:
                 return
         leader = (
@@ -508,6 +509,14 @@
         if worker.awaiting_response_since == sent_at:
             worker.awaiting_response_since, worker.next_heartbeat_at = None, self.time() + 0.5
 
+    def deliver_response(
+        self, worker: ReferenceWorker, heartbeat: Heartbeat, reply: HeartbeatResponse, sent_at: float
+    ) -> None:
+        """Deliver the response to a heartbeat that the worker sent at `sent_at`."""
+        worker.receive_response(
+            heartbeat.worker_epoch, heartbeat.sequence, reply.fencing_token, reply.commands, sent_at
+        )
+
     async def _send_duplicate(self, body: bytes) -> None:
         """Deliver a duplicate of a heartbeat 2 to 60 s late to all controllers that are up; drop the responses."""
         await asyncio.sleep(self.rng.choice([2.0, 6.0, 20.0, 60.0]))
