--- a/driftcleat/scheduler/batch_builder.py
+++ b/driftcleat/scheduler/batch_builder.py
@@ -20,7 +20,7 @@
 from driftcleat.scheduler.placement_pass import PlacementPass
 from driftcleat.scheduler.record_migration import RecordMigration
 from driftcleat.scheduler.scale_out import ScaleOut
-from driftcleat.store.layout import MAX_BATCH_BYTES
+from driftcleat.store.size_bounds import MAX_BATCH_BYTES
 
 # Every transaction also puts the batch marker.
 MARKER_OPERATIONS = 1
--- a/driftcleat/store/layout.py
+++ b/driftcleat/store/layout.py
@@ -7,7 +7,14 @@
 from driftcleat import wire
 from driftcleat.cluster.jobs import Job, TaskPlacement, TaskState
 from driftcleat.store.index_ranges import format_ranges
-from driftcleat.store.records import ChunkRecord, JobRecord, PlacementRow
+from driftcleat.store.records import ChunkRecord, JobRecord, PlacementRow, without_dependencies
+from driftcleat.store.size_bounds import (
+    CHUNK_FIELDS_BYTES,
+    KEY_FRAMING_BYTES,
+    MAX_BATCH_BYTES,
+    MAX_DONE_TASK_BYTES,
+    SizeBounds,
+)
 from driftcleat.wire.job_ids import encode_job_ids
 from driftcleat.wire.users import JobKind, JobSpec
 
@@ -15,30 +22,6 @@
 # divide by the same numbers, so these must not change.
 VERSION_1_HEAD_BYTES = 2600
 VERSION_1_TASK_BYTES = 110
-# The parts of one task's `PlacementRow`: brackets, commas and the separator; the machine's name with its quotes; the
-# digits of the attempt; the quotes of the index; a grace period that is not set (`null`) or 0.0.
-ROW_SYNTAX_BYTES = 7
-MAX_MACHINE_NAME_BYTES = 12
-MAX_ATTEMPT_DIGITS = 6
-INDEX_QUOTES_BYTES = 2
-MIN_GRACE_PERIOD_BYTES = 4
-# The largest size of a completed task in the ranges of indices: five digits and a separator.
-MAX_DONE_TASK_BYTES = 6
-# What a record takes in a transaction besides its value: the put, the compares of its own key and of the key of the
-# job's final state, with the prefixes that shards add, and the number of times that the job's id occurs in the keys.
-RECORD_FRAMING_BYTES = 256
-JOB_IDS_PER_RECORD = 4
-# The largest size of a transaction's changes as the sizes below count them; the rest of the state service's 64 KiB is
-# left for the batch marker and the leader key.
-MAX_BATCH_BYTES = 56 * 1024
-# The largest size of a chunk record without its tasks.
-CHUNK_FIELDS_BYTES = 16
-# What a put or a delete takes in a transaction besides its key and its value.
-KEY_FRAMING_BYTES = 48
-# The assumed size of the zone in a row if the zones are not known.
-DEFAULT_ZONE_BYTES = 24
-# The largest size of a head record without specification, dependencies and placements, with the longest numbers.
-MAX_HEAD_FIELDS_BYTES = 100
 # Operations in a batch that changes a whole gang, besides one for each of its records: the batch marker.
 EXTRA_GANG_OPERATIONS = 1
 
@@ -67,7 +50,7 @@
         self._version_1_tasks_per_record = max(
             1, (self.version_1_value_bytes - VERSION_1_HEAD_BYTES) // VERSION_1_TASK_BYTES
         )
-        self._zone_bytes = max((len(wire.encode(zone)) for zone in zones), default=DEFAULT_ZONE_BYTES)
+        self._bounds = SizeBounds(zones)
 
     def tasks_per_record(self, job: Job) -> int:
         """Return the number of tasks in a record of this job; more for a large gang, which must fit one batch."""
@@ -92,10 +75,10 @@
 
     def _max_tasks_per_record(self, spec: JobSpec, value_bytes: int) -> int:
         """Return how many tasks a job's head, and so any of its records, always holds; at least 1."""
-        row_bytes = self.spec_row_bytes(spec)
+        row_bytes = self._bounds.row_bytes(spec)
         # The exit of a task is charged with a row of its own.
-        record_bytes = min(value_bytes, MAX_BATCH_BYTES - self._framing_bytes(spec.id) - row_bytes)
-        return max(1, (record_bytes - self.head_bytes(spec)) // row_bytes)
+        record_bytes = min(value_bytes, MAX_BATCH_BYTES - self._bounds.framing_bytes(spec.id) - row_bytes)
+        return max(1, (record_bytes - self._bounds.head_bytes(spec)) // row_bytes)
 
     @property
     def _max_gang_records(self) -> int:
@@ -131,39 +114,26 @@
         """Return whether all records of a gang fit into one batch, together with the exit of one of its tasks."""
         records = -(-spec.tasks // tasks_per_record)
         size_bytes = (
-            self.head_bytes(spec)
+            self._bounds.head_bytes(spec)
             + (records - 1) * CHUNK_FIELDS_BYTES
-            + records * self._framing_bytes(spec.id)
-            + (spec.tasks + 1) * self.spec_row_bytes(spec)
+            + records * self._bounds.framing_bytes(spec.id)
+            + (spec.tasks + 1) * self._bounds.row_bytes(spec)
         )
         return records <= self._max_gang_records and size_bytes <= MAX_BATCH_BYTES
 
-    @staticmethod
-    def head_bytes(spec: JobSpec) -> int:
-        """Return the largest size, in bytes, of a job's head record without placements."""
-        encoded_dependencies = encode_job_ids(spec.dependencies or ())
-        return len(wire.encode(without_dependencies(spec))) + len(encoded_dependencies) + MAX_HEAD_FIELDS_BYTES
-
-    def spec_row_bytes(self, spec: JobSpec) -> int:
-        """Return the largest size, in bytes, of the row of one task; the grace period is the user's number."""
-        index_bytes = len(str(spec.tasks - 1)) + INDEX_QUOTES_BYTES
-        grace_bytes = max(MIN_GRACE_PERIOD_BYTES, len(wire.encode(spec.checkpoint_duration_s)))
-        names_bytes = MAX_MACHINE_NAME_BYTES + self._zone_bytes
-        return ROW_SYNTAX_BYTES + names_bytes + MAX_ATTEMPT_DIGITS + index_bytes + grace_bytes
-
     def spec_fits(self, spec: JobSpec) -> bool:
         """Return whether a job's records fit into values and into a batch, under the limits that will apply to it.
 
         Of a gang, `max_gang_tasks` tells whether all of its records fit at once. A job with dependencies is stored in
         data version 2 only, where the number of tasks in a record follows from the size of its head.
         """
-        head_bytes = self.head_bytes(spec)
-        row_bytes = self.spec_row_bytes(spec)
+        head_bytes = self._bounds.head_bytes(spec)
+        row_bytes = self._bounds.row_bytes(spec)
         if not self.version_2_active and not spec.dependencies and spec.kind is not JobKind.GANG:
             tasks_in_head = min(spec.tasks, self._version_1_tasks_per_record)
             if head_bytes + tasks_in_head * row_bytes > self.version_1_value_bytes:
                 return False
-        return head_bytes + row_bytes <= min(self.value_bytes, MAX_BATCH_BYTES - self._framing_bytes(spec.id))
+        return head_bytes + row_bytes <= min(self.value_bytes, MAX_BATCH_BYTES - self._bounds.framing_bytes(spec.id))
 
     # The interface `RecordSizes` of a batch.
 
@@ -175,18 +145,18 @@
         placed = job.task_states.count(TaskState.PLACED, first, end)
         done = job.task_states.count(TaskState.DONE, first, end)
         fields = self._job_head_bytes(job) if number == 0 else CHUNK_FIELDS_BYTES
-        return fields + placed * self.row_bytes(job) + done * MAX_DONE_TASK_BYTES + self._framing_bytes(job.id)
+        return fields + placed * self.row_bytes(job) + done * MAX_DONE_TASK_BYTES + self._bounds.framing_bytes(job.id)
 
     def max_head_bytes(self, job: Job, tasks_per_record: int) -> int:
         """Return an upper bound of the bytes for a job's head if a record held `tasks_per_record` tasks."""
         tasks = min(len(job.placements), tasks_per_record) * self.row_bytes(job)
         done = min(job.tasks_done, tasks_per_record) * MAX_DONE_TASK_BYTES
-        return self._job_head_bytes(job) + tasks + done + self._framing_bytes(job.id)
+        return self._job_head_bytes(job) + tasks + done + self._bounds.framing_bytes(job.id)
 
     def row_bytes(self, job: Job) -> int:
         """Return an upper bound of the bytes that a change of one task adds to its record."""
         if not job.row_bytes:
-            job.row_bytes = self.spec_row_bytes(job.spec)
+            job.row_bytes = self._bounds.row_bytes(job.spec)
         return job.row_bytes
 
     def put_bytes(self, key: str, value: object) -> int:
@@ -200,13 +170,9 @@
     def _job_head_bytes(self, job: Job) -> int:
         """Return `head_bytes` of a job; the encoding is done once, since every change of the job asks for it."""
         if not job.head_bytes:
-            job.head_bytes = self.head_bytes(job.spec)
+            job.head_bytes = self._bounds.head_bytes(job.spec)
         return job.head_bytes
 
-    @staticmethod
-    def _framing_bytes(job_id: str) -> int:
-        return RECORD_FRAMING_BYTES + JOB_IDS_PER_RECORD * len(job_id)
-
     def assign_tasks_per_record(self, job: Job) -> None:
         """Set a job's tasks per record in data version 2, unless records that are stored already would change."""
         if self.version_2_active and not job.tasks_per_record and not job.chunk_mod_revisions:
@@ -266,8 +232,3 @@
             for placement, group in groups.items()
         ]
         return ChunkRecord(format_ranges(done), rows)
-
-
-def without_dependencies(spec: JobSpec) -> JobSpec:
-    """Return a specification without its dependencies, which a head record holds in encoded form."""
-    return msgspec.structs.replace(spec, dependencies=None) if spec.dependencies else spec
--- a/driftcleat/store/records.py
+++ b/driftcleat/store/records.py
@@ -76,3 +76,8 @@
 
     fencing_token: int
     sequence: int
+
+
+def without_dependencies(spec: JobSpec) -> JobSpec:
+    """Return a specification without its dependencies, which a head record holds in encoded form."""
+    return msgspec.structs.replace(spec, dependencies=None) if spec.dependencies else spec
--- a/tests/test_gang_limits.py
+++ b/tests/test_gang_limits.py
@@ -7,8 +7,9 @@
 
 from driftcleat.cluster import Batch, Job, TaskPlacement, TaskState
 from driftcleat.store.encoding import MAX_TRANSACTION_BYTES, encode_batch
-from driftcleat.store.layout import MAX_BATCH_BYTES, RecordLayout
+from driftcleat.store.layout import RecordLayout
 from driftcleat.store.records import ScaleOutRecord
+from driftcleat.store.size_bounds import MAX_BATCH_BYTES
 from driftcleat.wire.users import JobSpec
 
 from .samples import job, raw_job
--- a/tests/test_oversized_batches.py
+++ b/tests/test_oversized_batches.py
@@ -8,7 +8,8 @@
 from driftcleat.cluster import Batch, Job, JobState, TaskPlacement, TaskState
 from driftcleat.scheduler import PendingRequest, Scheduler
 from driftcleat.store.encoding import MAX_TRANSACTION_BYTES, BatchTooLargeError, encode_batch
-from driftcleat.store.layout import MAX_BATCH_BYTES, RecordLayout
+from driftcleat.store.layout import RecordLayout
+from driftcleat.store.size_bounds import MAX_BATCH_BYTES
 
 from .samples import job, raw_job
 from .scheduler_fixtures import commit_all, scheduler_with_machines
