--- a/tests/costs.py
+++ b/tests/costs.py
@@ -19,7 +19,7 @@
 from driftcleat.store.keys import CHUNKS_PREFIX, JOBS_PREFIX
 from driftcleat.wire.workers import Heartbeat, TaskPhase, TaskStatus, format_task_name
 
-from .reference_model import InMemoryStore
+from .reference_store import InMemoryStore
 from .samples import MACHINE_TYPES, job, platform
 from .scheduler_fixtures import new_scheduler
 
--- a/tests/protocol_doubles.py
+++ b/tests/protocol_doubles.py
@@ -18,7 +18,9 @@
 from driftcleat.store.records import ScaleOutRecord
 from driftcleat.wire.workers import Command, Heartbeat, HeartbeatResponse
 
-from .reference_model import InMemoryStore, ReferenceModel, ReferenceWorker
+from .reference_model import ReferenceModel
+from .reference_store import InMemoryStore
+from .reference_worker import ReferenceWorker
 from .samples import MACHINE_TYPES, raw_settings
 
 # Ports below the range from which the kernel takes those of connections. Each test process has a block of its own, so
--- a/tests/sharing_simulation.py
+++ b/tests/sharing_simulation.py
@@ -16,15 +16,10 @@
 from driftcleat.store.keys import LEADER_KEY, ROOT_PREFIX
 
 from .protocol_doubles import ChangeLogStoreDouble
-from .reference_model import InvariantViolationError, ReferenceWorker, WorkerTask
-from .simulation import (
-    LABELS,
-    SimulatedPeerClient,
-    Simulation,
-    attach_to_simulation,
-    simulated_clients,
-    simulated_listener,
-)
+from .reference_model import InvariantViolationError
+from .reference_worker import ReferenceWorker, WorkerTask
+from .simulated_clients import SimulatedPeerClient, attach_to_simulation, simulated_clients, simulated_listener
+from .simulation import LABELS, Simulation
 
 SHARD_COUNT = 3
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -8,148 +8,33 @@
 import asyncio
 import json
 import random
-import selectors
 from collections.abc import Awaitable, Callable
-from types import SimpleNamespace
 from typing import Any
 
 from driftcleat import wire
-from driftcleat.cloud.client import CloudClient
 from driftcleat.controller.assembly import Factories
-from driftcleat.controller.clients import ControllerClients, store_limits
 from driftcleat.controller.controller import Controller
 from driftcleat.controller.network import SharedNetwork
 from driftcleat.leadership import Role
-from driftcleat.net import ConnectionLimiter, HttpError, HttpResponse
-from driftcleat.peers import PeerClient
+from driftcleat.net import HttpError
 from driftcleat.placement.candidates import satisfies_constraints, spread_limit, task_capacity
 from driftcleat.settings import Tuning
 from driftcleat.settings.platform import Platform, parse_platform
-from driftcleat.store.client import StoreClient
 from driftcleat.store.records import ScaleOutRecord
 from driftcleat.wire.job_spec_parsing import parse_submission
 from driftcleat.wire.users import JobKind, JobSpec
 from driftcleat.wire.workers import Command, CommandAction, Heartbeat, HeartbeatResponse
-from driftcleat.workers import WorkerClient
 
 from .protocol_doubles import StoreDouble
-from .reference_model import InvariantViolationError, ReferenceModel, ReferenceWorker, WorkerTask
+from .reference_model import InvariantViolationError, ReferenceModel
+from .reference_worker import ReferenceWorker, WorkerTask
 from .samples import MACHINE_TYPES, raw_settings
+from .simulated_clients import simulated_clients, simulated_listener
+from .virtual_time import VirtualTimeLoop
 
 LABELS = ("a", "b", "c")
 
 
-class _VirtualTimeSelector(selectors.BaseSelector):
-    """A selector that advances virtual time instead of waiting."""
-
-    def __init__(self) -> None:
-        self.inner = selectors.DefaultSelector()
-        self.now = 0.0
-
-    def register(self, *args: Any, **more: Any) -> Any:
-        return self.inner.register(*args, **more)
-
-    def unregister(self, *args: Any) -> Any:
-        return self.inner.unregister(*args)
-
-    def select(self, timeout: float | None = None) -> Any:
-        if timeout is None:
-            raise RuntimeError("deadlock: no timer is set and no I/O is pending")
-        # Advance by at least 1 us per iteration: a timer closer than the clock's resolution would never become due.
-        self.now += max(timeout, 1e-6)
-        return self.inner.select(0)
-
-    def get_map(self) -> Any:
-        return self.inner.get_map()
-
-    def close(self) -> None:
-        self.inner.close()
-
-
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock advances to the next timer when no callback is ready."""
-
-    def __init__(self) -> None:
-        self.instant = _VirtualTimeSelector()
-        super().__init__(self.instant)
-
-    def time(self) -> float:
-        return 100.0 + self.instant.now
-
-
-class SimulatedStoreClient(StoreClient):
-    """A store client that passes its requests to the simulation."""
-
-    simulation: "Simulation"
-    label: str
-
-    async def exchange(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        params: dict[str, str] | None,
-        timeout_s: float,
-        urgent: bool,
-    ) -> HttpResponse:
-        response = await asyncio.wait_for(
-            self.simulation.to_store(self.label, method, path, params or {}, body or b""), timeout_s
-        )
-        return HttpResponse(*response)
-
-
-class SimulatedCloudClient(CloudClient):
-    simulation: "Simulation"
-    label: str
-
-    async def exchange(self, method: str, path: str, body: bytes | None) -> HttpResponse:
-        return HttpResponse(
-            *await asyncio.wait_for(self.simulation.to_cloud(method, path, body or b""), self.timeout_s)
-        )
-
-
-class SimulatedPeerClient(PeerClient):
-    simulation: "Simulation"
-
-    async def exchange(self, address: str, body: bytes, timeout_s: float) -> HttpResponse:
-        return HttpResponse(
-            *await asyncio.wait_for(self.simulation.to_peer(self.label, address, body, self.path), timeout_s)
-        )
-
-
-class SimulatedWorkerClient(WorkerClient):
-    simulation: "Simulation"
-    label: str
-
-    async def exchange(self, addr: str, body: bytes, timeout_s: float) -> HttpResponse:
-        return HttpResponse(*await asyncio.wait_for(self.simulation.to_worker(self.label, addr, body), timeout_s))
-
-
-def simulated_clients(simulation: "Simulation", platform: Platform, clock: Callable[[], float]) -> ControllerClients:
-    """Return a controller's clients, which pass their requests to the simulation."""
-    none: Any = SimpleNamespace()
-    clients = ControllerClients(
-        store=SimulatedStoreClient(none, none, "", store_limits(platform), clock),
-        cloud=SimulatedCloudClient(none, "", platform.cloud_rps, platform.report_s, clock),
-        workers=SimulatedWorkerClient(none, platform.report_s, 64),
-        peers=SimulatedPeerClient(none, platform),
-    )
-    for client in (clients.store, clients.cloud, clients.workers, clients.peers):
-        attach_to_simulation(client, simulation, platform)
-    return clients
-
-
-def attach_to_simulation(client: Any, simulation: "Simulation", platform: Platform) -> None:
-    """Make a client pass its requests to the simulation, with this controller as the sender."""
-    client.simulation = simulation
-    client.label = platform.label
-
-
-def simulated_listener() -> Any:
-    """Return a listener without sockets, with the connection limiter that a controller reads."""
-    return SimpleNamespace(limiter=ConnectionLimiter(1000, lambda guest: None))
-
-
 class SimulatedController(Controller):
     """A real controller whose clients and listeners use no sockets."""
 
--- a/tests/test_accepted_jobs_walk.py
+++ b/tests/test_accepted_jobs_walk.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from .reference_model import ReferenceWorker
+from .reference_worker import ReferenceWorker
 from .samples import raw_job
 from .simulation import Simulation
 from .test_controller_fault_walk import FAULTS, Fault, run_fault_walk, toggle_on_some_workers
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from .reference_model import ReferenceModel, ReferenceWorker
+from .reference_model import ReferenceModel
+from .reference_worker import ReferenceWorker
 from .samples import MACHINE_TYPES, job, platform
 
 
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -15,7 +15,8 @@
 from driftcleat.store.records import ScaleOutRecord
 from driftcleat.wire.workers import Command, CommandAction, Heartbeat, HeartbeatResponse
 
-from .reference_model import InvariantViolationError, ReferenceWorker
+from .reference_model import InvariantViolationError
+from .reference_worker import ReferenceWorker
 from .samples import raw_job
 from .sharing_simulation import ShardedSimulation
 from .simulation import LABELS, Simulation
--- a/tests/test_scheduler_fault_walk.py
+++ b/tests/test_scheduler_fault_walk.py
@@ -7,7 +7,8 @@
 
 from driftcleat.store.records import ScaleOutRecord
 
-from .reference_model import InvariantViolationError, ReferenceModel, ReferenceWorker
+from .reference_model import InvariantViolationError, ReferenceModel
+from .reference_worker import ReferenceWorker
 from .samples import MACHINE_TYPES, job, platform
 
 
--- a/tests/test_scheduler_units.py
+++ b/tests/test_scheduler_units.py
@@ -37,7 +37,7 @@
 from driftcleat.wire.users import JobSpec, JobStatus
 from driftcleat.wire.workers import Heartbeat, TaskStatus
 
-from .reference_model import InMemoryStore
+from .reference_store import InMemoryStore
 from .samples import BIG, MACHINE_TYPES, decode_job_records, job, platform
 from .scheduler_fixtures import new_scheduler
 
--- a/tests/test_stale_heartbeats_and_placement.py
+++ b/tests/test_stale_heartbeats_and_placement.py
@@ -17,7 +17,8 @@
 from driftcleat.wire.cloud import MachineType
 from driftcleat.wire.workers import Heartbeat, TaskStatus
 
-from .reference_model import ReferenceModel, ReferenceWorker
+from .reference_model import ReferenceModel
+from .reference_worker import ReferenceWorker
 from .samples import BIG, MACHINE_TYPES, job, platform
 from .scheduler_fixtures import new_scheduler
 from .test_fault_injection import busy_model, worker_with_task
--- a/tools/load/fleet.py
+++ b/tools/load/fleet.py
@@ -16,7 +16,7 @@
 from driftcleat.net import HttpClient, HttpError
 from driftcleat.wire.workers import Heartbeat, HeartbeatResponse
 from tests.protocol_doubles import HttpReferenceModel
-from tests.reference_model import ReferenceWorker, WorkerTask
+from tests.reference_worker import ReferenceWorker, WorkerTask
 
 # Timeout of a worker's heartbeat request.
 WORKER_TIMEOUT_S = 4.0
--- a/tools/load/store.py
+++ b/tools/load/store.py
@@ -12,7 +12,7 @@
 
 from driftcleat.settings.platform import parse_platform
 from tests.protocol_doubles import ChangeLogStoreDouble, serve
-from tests.reference_model import InMemoryStore
+from tests.reference_store import InMemoryStore
 from tests.samples import raw_settings
 
 from .sizes import SIZES, Size
--- a/tools/shares/doubles.py
+++ b/tools/shares/doubles.py
@@ -16,7 +16,9 @@
 from driftcleat.store.records import ScaleOutRecord
 from driftcleat.wire.workers import Command
 from tests.protocol_doubles import ChangeLogStoreDouble, HttpReferenceModel
-from tests.reference_model import InMemoryStore, InvariantViolationError, ReferenceWorker, WorkerTask
+from tests.reference_model import InvariantViolationError
+from tests.reference_store import InMemoryStore
+from tests.reference_worker import ReferenceWorker, WorkerTask
 
 from .history import (
     Event,
--- a/tools/shares/run.py
+++ b/tools/shares/run.py
@@ -15,7 +15,7 @@
 from driftcleat.settings.platform import parse_platform
 from driftcleat.wire.job_spec_parsing import parse_submission
 from tests.protocol_doubles import wait_until
-from tests.reference_model import InMemoryStore
+from tests.reference_store import InMemoryStore
 from tests.samples import raw_settings
 from tests.test_controller_fault_walk import random_raw_job
 from tools.load.processes import LABELS, LoadSite, usage
