A follower that finds no record of a job reads its head once more before it says so

Cause: a follower whose leader does not respond reads the head record, then the final state; a job that is accepted in between is in neither read.

Change: without either record, the head is read again. Why it works: a job that was accepted before the last read is found by it; one that ended meanwhile has had a head.

--- a/driftcleat/api/job_status.py
+++ b/driftcleat/api/job_status.py
@@ -63,7 +63,8 @@
     async def _poll_records(self, job_id: str, scheduler: Scheduler | None) -> Response:
         """Return the response to a poll from the records.
 
-        The head record is read first, so that a job that ends between the two reads is still found.
+        The head record is read first, so that a job that ends between the two reads is still found; if there is
+        neither, it is read again, so that a job that is accepted meanwhile is found too.
         """
         try:
             if scheduler is None or not self._active_term.may_decide:
@@ -71,6 +72,8 @@
                 if recorded is not None:
                     return self._respond(recorded)
             status = await self._records.read_final_status(job_id)
+            if status is None and scheduler is None:
+                status = await self._recorded_status(job_id)
         except (StoreError, wire.WireError):
             return self._responses.store_unavailable()
         if status is None and scheduler is not None:
--- a/tests/test_answer_order.py
+++ b/tests/test_answer_order.py
@@ -190,3 +190,22 @@
         await until_follower_says(simulation, "req-000002", "cancelled")
 
     Simulation(seed).run_scenario(scenario)
+
+
+@pytest.mark.parametrize("store_delay_s", [0.05, 0.2, 0.5])
+@pytest.mark.parametrize("seed", range(3))
+def test_poll_of_an_unknown_job_is_not_older_than_its_acceptance(seed: int, store_delay_s: float) -> None:
+    """Guards against a follower that finds neither record of a job, since it is accepted between the two reads."""
+
+    async def scenario(simulation: Simulation) -> None:
+        leader, follower = leader_and_follower(simulation)
+        simulation.refuses_peers = True
+        simulation.store_delay_s = store_delay_s
+        submitting = simulation.submit_until_accepted(raw_job(1, hands=1), leader)
+        for _ in range(200):
+            simulation.spawn(simulation.poll("req-000001", follower))
+            await simulation.advance(0.02)
+        await simulation.run_until(submitting.done)
+        assert await simulation.poll("req-000001", follower) == 200
+
+    Simulation(seed).run_scenario(scenario)
