A recovering controller keeps workers' leases for a bounded time only

What callers saw: a cancelled job's tasks run on after cancel_s.

Cause: a recovery in a slow store outlasts the leader lease and fails, and the next one begins. A recovering controller keeps workers' leases but has not read what is cancelled; the time for which it may do so counted from its own lease, so each term began it anew.

Change: the time counts from the last contact with a leader, as for a partitioned follower; the end of a term records the cancelled jobs that may still run, and heartbeats of their workers are not answered during recovery. Why it works: no controller that cannot stop a task keeps its worker's lease beyond the bound that every cancellation allows for.

The test of permissions by role asked for the old behaviour of a recovering controller; it asks for the opposite now, and a new one for both sides of the bound.

--- a/driftcleat/api/heartbeats.py
+++ b/driftcleat/api/heartbeats.py
@@ -63,7 +63,8 @@
             return _redirect_to(None)
         scheduler = self._active_term.scheduler
         if scheduler is None:
-            return _respond(token)
+            # Without the records, no task can be stopped.
+            return _respond(token) if election.may_extend_worker_lease(_live_jobs(heartbeat)) else _redirect_to(None)
         return self._apply(scheduler, heartbeat, received_at)
 
     def _apply(self, scheduler: Scheduler, heartbeat: Heartbeat, received_at: float) -> ResponseOrAwaitable:
@@ -136,12 +137,7 @@
         if heartbeat.fencing_token > token:
             election.observe_higher_token(heartbeat.fencing_token)
             return _redirect_to(None)
-        live_jobs = {
-            parsed[0]
-            for task in heartbeat.tasks
-            if task.phase != TaskPhase.EXITED and (parsed := parse_task_name(task.task))
-        }
-        return _respond(token) if election.may_extend_worker_lease(live_jobs) else _redirect_to(None)
+        return _respond(token) if election.may_extend_worker_lease(_live_jobs(heartbeat)) else _redirect_to(None)
 
     def _redirect(self) -> Response:
         """Return a redirect to the leader, without a name if no other controller is known as the leader."""
@@ -149,6 +145,15 @@
         return _redirect_to(leader if leader != self._label else None)
 
 
+def _live_jobs(heartbeat: Heartbeat) -> set[str]:
+    """Return the jobs of the tasks that have not exited."""
+    return {
+        parsed[0]
+        for task in heartbeat.tasks
+        if task.phase != TaskPhase.EXITED and (parsed := parse_task_name(task.task))
+    }
+
+
 def _redirect_to(leader: str | None) -> Response:
     return Response(421, wire.encode(Redirect(leader)))
 
--- a/driftcleat/controller/controller.py
+++ b/driftcleat/controller/controller.py
@@ -139,6 +139,8 @@
 
     def _end_term(self) -> None:
         """End the term: complete the requests that wait for a commit, without its outcome."""
+        if self.scheduler is not None:
+            self.election.record_end_of_term(self.scheduler.cancellations.jobs_still_placed())
         self.active_term.scheduler = None
         self.users.drop_outstanding()
         self.active_term.announce_commit()
--- a/driftcleat/leadership/campaign.py
+++ b/driftcleat/leadership/campaign.py
@@ -81,4 +81,7 @@
         state.leader = state.label
         state.has_read_leader_key = True
         self._leader_loop.begin_term()
+        if not state.has_leader_contact:
+            # A new process may keep the leases of workers from its first recovery on, bounded like any other.
+            state.leader_contact_at = state.clock()
         state.transition(Role.RECOVERING)
--- a/driftcleat/leadership/permissions.py
+++ b/driftcleat/leadership/permissions.py
@@ -16,7 +16,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from driftcleat.leadership.lease import LeaseClock
 from driftcleat.leadership.peer_survey import PeerSurvey
@@ -103,14 +103,21 @@
         """The last time at which no other controller can have confirmed a cancellation that is not known here.
 
         For a leader, the last time at which there was certainly no later leader. For any other controller, the time
-        at which the leader that last responded to it was itself confirmed. Worker leases are kept for at most
+        at which the leader that last responded to it was itself confirmed; also for one that recovers, which has not
+        read the records yet: recoveries that fail one after the other, while the store is slow, would otherwise keep
+        the leases of workers with cancelled tasks without end. Worker leases are kept for at most
         `max_unconfirmed_s` beyond this time. The next controller that keeps them counts from the same time, so the
         bounds of two controllers in turn do not add up.
         """
-        if self.is_leader:
+        if self.is_leader and self.role is not Role.RECOVERING:
             return max(self.lease.held_until(self.clock()), self.peers_confirmed_at)
         return self.leader_contact_at
 
+    @property
+    def has_leader_contact(self) -> bool:
+        """Whether a leader has responded to this controller, or it has led, in this incarnation."""
+        return self.leader_contact_at > _NEVER
+
     @property
     def lease_keeping_token(self) -> int | None:
         """The fencing token with which a partitioned follower keeps workers' leases; None if it must not keep them.
@@ -132,8 +139,12 @@
             and self.clock() - self.leader_contact_at < self.max_unconfirmed_s
         )
 
+    def record_end_of_term(self, cancelled_jobs: Collection[str]) -> None:
+        """Record the cancelled jobs whose tasks the own term had not seen terminated when it ended."""
+        self.cancelled_jobs = frozenset(cancelled_jobs)
+
     def may_extend_worker_lease(self, jobs: set[str]) -> bool:
-        """Whether a partitioned follower may keep the lease of a worker with tasks of these jobs.
+        """Whether a controller that cannot stop tasks may keep the lease of a worker with tasks of these jobs.
 
         A worker may have missed the stop command of a cancelled task. Its lease must not be extended, since the bound
         counts from the last contact with the leader and the cancellation may be older.
--- a/tests/test_accepted_jobs_walk.py
+++ b/tests/test_accepted_jobs_walk.py
@@ -105,3 +105,20 @@
 def test_every_accepted_job_runs_once_the_faults_are_over(seed: int) -> None:
     simulation = run_starting_walk(seed)
     assert simulation.task_starts > 3
+
+
+class LastingFaultsSimulation(SlowStartSimulation):
+    """The same, and up to three machines that fail their tasks go on to do so when the other faults end."""
+
+    def heal(self) -> None:
+        """End all other faults."""
+        faulty = [worker for worker in self.alive() if worker.fails_tasks][:3]
+        super().heal()
+        for worker in faulty:
+            worker.fails_tasks = True
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_every_accepted_job_runs_beside_machines_that_stay_faulty(seed: int) -> None:
+    simulation = run_starting_walk(seed, LastingFaultsSimulation)
+    assert simulation.task_starts > 3
--- a/tests/test_fault_interactions.py
+++ b/tests/test_fault_interactions.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from driftcleat.leadership import Role
 from driftcleat.store.records import ScaleOutRecord
 
@@ -716,3 +718,27 @@
         statuses.append((await simulation.request("GET", path, None, label))[0])
     assert 0 not in statuses, statuses
     assert 503 in statuses
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_cancelled_tasks_end_while_recoveries_fail_in_a_slow_store(seed: int) -> None:
+    """The old leader is isolated with its workers and the cloud is down; after a cancellation the store is slow.
+
+    Recoveries then take longer than the leader lease, one after the other. Guards against controllers that keep the
+    leases of workers with cancelled tasks while they recover, since each has not yet read what was cancelled.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        ids = await start_services(simulation)
+        old = str(simulation.leader_label())
+        simulation.cloud_up = False
+        for worker in simulation.alive():
+            simulation.worker_controllers[worker.name] = old
+        simulation.isolate(old)
+        new = await wait_for_next_leader(simulation, old)
+        for job_id in ids:
+            await simulation.cancel_until_confirmed(job_id, new)
+        simulation.store_delay_s = 0.6
+        await assert_cancelled_in_time(simulation, *ids)
+
+    Simulation(seed).run_scenario(scenario)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -72,10 +72,28 @@
     leased.lease.record_grant(7, NOW)
     assert leased.is_leader is is_leading
     assert leased.may_decide is (role is Role.LEADER)
-    assert leased.may_respond_to_heartbeats is is_leading
+    assert leased.may_respond_to_heartbeats is (is_leading and role is not Role.RECOVERING)
     assert leased.may_send_starts is is_leading
 
 
+def test_recovering_controller_responds_to_heartbeats_for_a_bounded_time_after_its_last_contact() -> None:
+    """Guards against terms that begin one after the other, none of which reads what was cancelled."""
+    recovering = state_in_role(Role.RECOVERING)
+    recovering.lease.record_grant(7, NOW)
+    recovering.record_leader_contact(PeerSurvey(leader_confirmed_at=NOW - recovering.max_unconfirmed_s + 0.01))
+    assert recovering.may_respond_to_heartbeats
+    recovering.leader_contact_at = NOW - recovering.max_unconfirmed_s - 0.01
+    assert not recovering.may_respond_to_heartbeats
+    recovering.transition(Role.LEADER)
+    assert recovering.may_respond_to_heartbeats
+
+
+def test_end_of_a_term_records_the_cancelled_jobs_that_may_still_run() -> None:
+    follower = state_in_role(Role.FOLLOWER)
+    follower.record_end_of_term(["req-1"])
+    assert not follower.may_extend_worker_lease({"req-1", "req-2"}) and follower.may_extend_worker_lease({"req-2"})
+
+
 @pytest.mark.parametrize("role", Role)
 def test_no_role_permits_anything_without_lease_and_confirmation(role: Role) -> None:
     without_lease = state_in_role(role)
