--- a/driftcleat/cluster/job_failures.py
+++ b/driftcleat/cluster/job_failures.py
@@ -30,6 +30,11 @@
     # By machine: until when further failures there are those of the same fault.
     counted_until: dict[str, float] = field(default_factory=dict)
 
+    def delay_next_attempt(self, now: float) -> None:
+        """Count one more failure, and delay the next attempt accordingly."""
+        self.count += 1
+        self.retry_at = now + min(MAX_RETRY_S, _delay_s(self.count))
+
 
 class JobFailures:
     """Counts the machines on which jobs failed, and derives the delays of further attempts.
@@ -47,27 +52,29 @@
         return record is not None and record.count > 0
 
     def record(self, job_id: str, machine: str, now: float) -> None:
-        """Record that a machine failed or refused a task of a job at `now`, and delay the job's next attempt."""
-        record = self._records.setdefault(job_id, _FailureRecord())
-        if now - record.last_failed_at > FAILURE_MEMORY_S:
-            record.count = 0
-            record.counted_until.clear()
-        record.last_failed_at = now
-        if record.counted_until.get(machine, 0.0) > now:
+        """Record that a machine failed a task of a job at `now`, and delay the job's next attempt."""
+        record = self._record_failure_at(job_id, now)
+        record.counted_until = {name: until for name, until in record.counted_until.items() if until > now}
+        if machine in record.counted_until:
             return
         record.counted_until[machine] = now + EXCLUSION_S
-        record.count += 1
-        record.retry_at = now + min(MAX_RETRY_S, _delay_s(record.count))
+        record.delay_next_attempt(now)
         if record.count >= SUSPECT_MACHINES:
             log.info("job %s: failed on %d machines in a row, the last one is %s", job_id, record.count, machine)
 
     def record_refusal(self, job_id: str, now: float) -> None:
         """Record that a worker refused a task for a reason that says nothing of its machine."""
-        record = self._records.setdefault(job_id, _FailureRecord())
+        record = self._record_failure_at(job_id, now)
         if record.retry_at <= now:
-            record.count += 1
-            record.retry_at = now + min(MAX_RETRY_S, _delay_s(record.count))
+            record.delay_next_attempt(now)
+
+    def _record_failure_at(self, job_id: str, now: float) -> _FailureRecord:
+        """Return the record of a job that has failed at `now`, without failures that are too old to count."""
+        record = self._records.setdefault(job_id, _FailureRecord())
+        if now - record.last_failed_at > FAILURE_MEMORY_S:
+            record.count = 0
         record.last_failed_at = now
+        return record
 
     def record_success(self, job_id: str) -> None:
         """Record that a task of a job is done; a delay that has begun goes on."""
