--- a/tests/test_gang_limits.py
+++ b/tests/test_gang_limits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from driftcleat.cluster import Batch, Job, TaskPlacement, TaskState
+from driftcleat.controller import recovery
 from driftcleat.store.encoding import MAX_TRANSACTION_BYTES, encode_batch
 from driftcleat.store.layout import RecordLayout
 from driftcleat.store.records import ScaleOutRecord
@@ -133,15 +134,8 @@
 
 
 def max_gang_tasks(simulation: Simulation, version_2_active: bool = True) -> int:
-    """Return the size of the largest gang under the limits of the simulated site, from the error of a larger one."""
-    platform = simulation.platform
-    layout = RecordLayout(
-        platform.value_bytes,
-        platform.txn_ops,
-        platform.version_1_value_bytes,
-        platform.version_1_txn_ops,
-        platform.zones,
-    )
+    """Return the size of the largest gang under the current and the announced limits of the simulated site."""
+    layout = recovery.new_layout(simulation.platform)
     layout.version_2_active = version_2_active
     return layout.max_gang_tasks(gang(MAX_TASKS, voyageS=10.0, builds=["big"]))
 
