--- a/tests/test_fault_interactions.py
+++ b/tests/test_fault_interactions.py
@@ -57,7 +57,8 @@
 
 async def cancel_through_the_next_leader(simulation: Simulation, job_ids: list[str]) -> str:
     """Isolate the leader together with all workers, cancel jobs through the next one and return its label."""
-    old = str(simulation.leader_label())
+    old = simulation.leader_label()
+    assert old is not None
     for worker in simulation.alive():
         simulation.worker_controllers[worker.name] = old
     simulation.isolate(old)
